--- /dev/null
+++ b/lab/fulmarrudder_lab/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the systems served, load and experiments."""
--- /dev/null
+++ b/src/fulmarrudder/call/answer.py
@@ -0,0 +1,72 @@
+"""Answers: a response head, and a body that flows to a sink."""
+
+from typing import Protocol
+
+from fulmarrudder.call.codec import refusal_body, refusal_head
+from fulmarrudder.call.message import Refusal, ResponseHead
+
+
+class AnswerSink(Protocol):
+    """Takes the body of an answer."""
+
+    def take_producer(self, producer) -> None:
+        """Takes what to pause while the sink is full, or None at the end."""
+
+    def take_part(self, data: bytes) -> None:
+        """Takes a piece."""
+
+    def take_end(self) -> None:
+        """Takes the end."""
+
+    def take_broken(self) -> None:
+        """Learns that the rest will not come."""
+
+
+class Answer(Protocol):
+    """An answer whose head is known.
+
+    Attributes:
+        head: The head.
+    """
+
+    head: ResponseHead
+
+    def stream_to(self, sink: AnswerSink) -> None:
+        """Sends the body to a sink."""
+
+    def cancel(self) -> None:
+        """Gives the answer up."""
+
+
+class WholeAnswer:
+    """An answer whose body is at hand.
+
+    Attributes:
+        head: The head.
+        body: The body.
+        refusal: The refusal that it tells, or None.
+    """
+
+    __slots__ = ("body", "head", "refusal")
+
+    def __init__(
+        self, head: ResponseHead, body: bytes, refusal: Refusal | None = None
+    ):
+        self.head = head
+        self.body = body
+        self.refusal = refusal
+
+    def stream_to(self, sink: AnswerSink) -> None:
+        """Sends the body to a sink."""
+        if self.body:
+            sink.take_part(self.body)
+        sink.take_end()
+
+    def cancel(self) -> None:
+        """Does nothing; there is nothing to give up."""
+
+
+def refused(refusal: Refusal) -> WholeAnswer:
+    """Returns the answer that tells a refusal."""
+    body = refusal_body(refusal)
+    return WholeAnswer(refusal_head(refusal, body), body, refusal)
--- /dev/null
+++ b/src/fulmarrudder/call/body.py
@@ -0,0 +1,160 @@
+"""The body of a request on its way, with back-pressure.
+
+A body's first bytes are kept so that an attempt can be repeated. Once more
+than `KEEP_BYTES` have passed, nothing is kept and no attempt can be repeated.
+"""
+
+from typing import Protocol
+
+from twisted.internet.defer import Deferred, succeed
+from twisted.internet.interfaces import IPushProducer
+from zope.interface import implementer
+
+KEEP_BYTES = 65_536
+
+
+class BodySink(Protocol):
+    """Takes a body."""
+
+    def take_part(self, data: bytes) -> None:
+        """Takes a piece."""
+
+    def take_end(self) -> None:
+        """Takes the end."""
+
+    def take_lost(self) -> None:
+        """Learns that the rest will not come."""
+
+
+@implementer(IPushProducer)
+class RequestBody:
+    """A body between the connection that it comes from and its sink.
+
+    Attributes:
+        source: Transport that is paused while the sink is full.
+        total: Bytes received so far.
+        ended: Whether the end has been received.
+        lost: Whether the connection was lost before the end.
+        replayable: Whether every byte received is still kept.
+    """
+
+    __slots__ = (
+        "ended",
+        "kept",
+        "lost",
+        "paused",
+        "replayable",
+        "sink",
+        "source",
+        "total",
+        "wanted",
+        "waiting",
+    )
+
+    def __init__(self, source):
+        self.source = source
+        self.kept: list[bytes] = []
+        self.total = 0
+        self.ended = False
+        self.lost = False
+        self.replayable = True
+        self.sink: BodySink | None = None
+        self.paused = False
+        self.wanted = 0
+        self.waiting: Deferred | None = None
+
+    def receive_part(self, data: bytes) -> None:
+        """Receives a piece from the connection."""
+        self.total += len(data)
+        if self.replayable:
+            self.kept.append(data)
+        if self.sink is not None:
+            self._let_go()
+            self.sink.take_part(data)
+        elif self.total > KEEP_BYTES:
+            self.pauseProducing()
+        self._wake()
+
+    def receive_end(self) -> None:
+        """Receives the end from the connection."""
+        self.ended = True
+        if self.sink is not None:
+            self.sink.take_end()
+        self._wake()
+
+    def receive_lost(self) -> None:
+        """Learns that the rest will not come."""
+        if self.ended:
+            return
+        self.lost = True
+        if self.sink is not None:
+            self.sink.take_lost()
+        waiting, self.waiting = self.waiting, None
+        if waiting is not None:
+            waiting.cancel()
+
+    def when_prefix(self, size: int) -> Deferred:
+        """Waits for the first bytes.
+
+        Args:
+            size: How many bytes are wanted.
+
+        Returns:
+            Deferred of the first bytes, fewer when the body ends before.
+        """
+        if self.ended or self.total >= size:
+            return succeed(self.prefix(size))
+        self.wanted = size
+        self.waiting = Deferred()
+        return self.waiting
+
+    def prefix(self, size: int) -> bytes:
+        """Returns the first bytes kept."""
+        if len(self.kept) == 1:
+            return self.kept[0][:size]
+        return b"".join(self.kept)[:size]
+
+    def attach(self, sink: BodySink) -> None:
+        """Gives the body to a sink, from its first byte on."""
+        self.sink = sink
+        kept = tuple(self.kept)
+        self._let_go()
+        for data in kept:
+            sink.take_part(data)
+        if self.sink is not sink:
+            return
+        if self.ended:
+            sink.take_end()
+        elif self.paused:
+            self.resumeProducing()
+
+    def detach(self) -> None:
+        """Takes the body away from its sink."""
+        self.sink = None
+
+    def _let_go(self) -> None:
+        if self.total > KEEP_BYTES:
+            self.replayable = False
+            self.kept = []
+
+    def _wake(self) -> None:
+        if self.waiting is None:
+            return
+        if self.ended or self.total >= self.wanted:
+            waiting, self.waiting = self.waiting, None
+            waiting.callback(self.prefix(self.wanted))
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Stops reading from the connection."""
+        if not self.paused and not self.ended:
+            self.paused = True
+            self.source.pauseProducing()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Reads from the connection again."""
+        if self.paused:
+            self.paused = False
+            self.source.resumeProducing()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Does nothing; whoever takes the body handles its own loss."""
--- /dev/null
+++ b/src/fulmarrudder/call/codec.py
@@ -0,0 +1,298 @@
+"""HTTP/1.1 codec: bytes to typed messages and back.
+
+Parsing is llhttp's, by way of `httptools`; the rest of the call path sees
+typed messages only, so another codec can take this module's place.
+"""
+
+import json
+from http import HTTPStatus
+
+import httptools
+
+from fulmarrudder.call.errors import ProtocolError
+from fulmarrudder.call.message import (
+    RAN_HEADER,
+    REASON_HEADER,
+    BodyEnd,
+    BodyPart,
+    Continue,
+    Framing,
+    Headers,
+    Refusal,
+    RequestHead,
+    ResponseHead,
+)
+
+HEADER_BYTES_LIMIT = 16_384
+HEADER_COUNT_LIMIT = 100
+CRLF = b"\r\n"
+LAST_CHUNK = b"0\r\n\r\n"
+CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
+BODILESS_STATUS = frozenset({204, 304})
+_REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
+
+Event = RequestHead | ResponseHead | BodyPart | BodyEnd | Continue
+
+
+class _Decoder:
+    """What decoding requests and responses share."""
+
+    __slots__ = ("events", "fields", "header_bytes", "in_head")
+
+    def __init__(self):
+        self.events: list[Event] = []
+        self.fields: list[tuple[bytes, bytes]] = []
+        self.header_bytes = 0
+        self.in_head = True
+
+    def on_message_begin(self) -> None:
+        self.fields = []
+        self.header_bytes = 0
+        self.in_head = True
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.header_bytes += len(name) + len(value) + 4
+        if self.header_bytes > HEADER_BYTES_LIMIT:
+            raise ProtocolError("header fields too large", status=431)
+        if len(self.fields) >= HEADER_COUNT_LIMIT:
+            raise ProtocolError("too many header fields", status=431)
+        if self.in_head:
+            self.fields.append((name.lower(), value))
+
+    def on_body(self, data: bytes) -> None:
+        self.events.append(BodyPart(data))
+
+    def take(self) -> list[Event]:
+        events, self.events = self.events, []
+        return events
+
+
+class RequestDecoder(_Decoder):
+    """Decodes requests from a caller's bytes."""
+
+    __slots__ = ("head_bytes", "parser", "url")
+
+    def __init__(self):
+        super().__init__()
+        self.parser = httptools.HttpRequestParser(self)
+        self.url = b""
+        self.head_bytes = 0
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Decodes a piece of the byte stream.
+
+        Args:
+            data: Bytes as they came.
+
+        Returns:
+            The events that they complete.
+
+        Raises:
+            ProtocolError: The bytes are not strict HTTP/1.1.
+        """
+        if self.in_head:
+            self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise ProtocolError("upgrade refused", status=501) from None
+        except httptools.HttpParserError as error:
+            cause = error.__context__
+            if isinstance(cause, ProtocolError):
+                raise cause from None
+            raise ProtocolError(str(error)) from None
+        if self.in_head and self.head_bytes > HEADER_BYTES_LIMIT:
+            raise ProtocolError("request head too large", status=431)
+        return self.take()
+
+    def on_url(self, url: bytes) -> None:
+        """Takes a piece of the request target."""
+        self.url += url
+
+    def on_headers_complete(self) -> None:
+        """Closes the head."""
+        headers = Headers(tuple(self.fields))
+        framing, length = _request_framing(headers)
+        self.events.append(
+            RequestHead(
+                method=self.parser.get_method(),
+                target=self.url,
+                headers=headers,
+                framing=framing,
+                length=length,
+                keep_alive=self.parser.should_keep_alive(),
+                modern=self.parser.get_http_version() == "1.1",
+            )
+        )
+        self.in_head = False
+        self.url = b""
+        self.head_bytes = 0
+
+    def on_message_complete(self) -> None:
+        """Closes the message."""
+        self.events.append(BodyEnd())
+        self.in_head = True
+
+
+class ResponseDecoder(_Decoder):
+    """Decodes responses from a target's or a node's bytes.
+
+    Attributes:
+        bodiless: Whether the request forbids a body, as HEAD does.
+    """
+
+    __slots__ = ("bodiless", "closing", "parser", "reason", "skipping")
+
+    def __init__(self):
+        super().__init__()
+        self.parser = httptools.HttpResponseParser(self)
+        self.bodiless = False
+        self.closing = False
+        self.skipping = False
+        self.reason = b""
+
+    def feed(self, data: bytes) -> list[Event]:
+        """Decodes a piece of the byte stream; see `RequestDecoder.feed`."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            raise ProtocolError("upgrade refused", status=502) from None
+        except httptools.HttpParserError as error:
+            raise ProtocolError(str(error), status=502) from None
+        return self.take()
+
+    def on_status(self, reason: bytes) -> None:
+        """Takes a piece of the reason phrase."""
+        self.reason += reason
+
+    def on_headers_complete(self) -> None:
+        """Closes the head."""
+        status = self.parser.get_status_code()
+        self.in_head = False
+        reason, self.reason = self.reason, b""
+        if status == 100:
+            self.skipping = True
+            self.events.append(Continue())
+            return
+        if status < 200:
+            self.skipping = True
+            return
+        headers = Headers(tuple(self.fields))
+        framing, length = self._framing(headers, status)
+        self.closing = framing is Framing.CLOSE
+        self.events.append(
+            ResponseHead(
+                status=status,
+                reason=reason,
+                headers=headers,
+                framing=framing,
+                length=length,
+                keep_alive=self.parser.should_keep_alive(),
+            )
+        )
+
+    def _framing(self, headers: Headers, status: int) -> tuple[Framing, int]:
+        length = headers.get(b"content-length")
+        if self.bodiless or status in BODILESS_STATUS:
+            return Framing.NONE, int(length) if length else 0
+        if headers.get(b"transfer-encoding") is not None:
+            return Framing.CHUNKED, 0
+        if length is not None:
+            return Framing.LENGTH, int(length)
+        return Framing.CLOSE, 0
+
+    def on_message_complete(self) -> None:
+        """Closes the message."""
+        self.in_head = True
+        if self.skipping:
+            self.skipping = False
+            return
+        self.events.append(BodyEnd())
+
+
+def _request_framing(headers: Headers) -> tuple[Framing, int]:
+    if headers.get(b"transfer-encoding") is not None:
+        return Framing.CHUNKED, 0
+    length = headers.get(b"content-length")
+    if length is None or int(length) == 0:
+        return Framing.NONE, 0
+    return Framing.LENGTH, int(length)
+
+
+def _fields(headers: Headers, framing: Framing, length: int) -> bytes:
+    lines = [b"%b: %b\r\n" % field for field in headers.fields]
+    if framing is Framing.LENGTH:
+        lines.append(b"content-length: %d\r\n" % length)
+    if framing is Framing.CHUNKED:
+        lines.append(b"transfer-encoding: chunked\r\n")
+    return b"".join(lines)
+
+
+def encode_request(head: RequestHead) -> bytes:
+    """Encodes a request head; its headers must not frame the body."""
+    line = b"%b %b HTTP/1.1\r\n" % (head.method, head.target)
+    length = b""
+    if head.framing is Framing.NONE and head.method in (b"POST", b"PUT"):
+        length = b"content-length: 0\r\n"
+    fields = _fields(head.headers, head.framing, head.length)
+    return line + fields + length + CRLF
+
+
+def encode_response(head: ResponseHead, *, bodiless: bool = False) -> bytes:
+    """Encodes a response head; its headers must not frame the body.
+
+    Args:
+        head: The head.
+        bodiless: Whether it answers a HEAD request.
+    """
+    reason = head.reason or _REASONS.get(head.status, b"Unknown")
+    line = b"HTTP/1.1 %d %b\r\n" % (head.status, reason)
+    length = b""
+    if head.framing is Framing.NONE and head.status not in BODILESS_STATUS:
+        told = head.length if bodiless else 0
+        length = b"content-length: %d\r\n" % told
+    closing = b"" if head.keep_alive else b"connection: close\r\n"
+    fields = _fields(head.headers, head.framing, head.length)
+    return line + fields + length + closing + CRLF
+
+
+def encode_part(framing: Framing, data: bytes) -> bytes:
+    """Encodes a piece of a body."""
+    if framing is Framing.CHUNKED:
+        return b"%x\r\n%b\r\n" % (len(data), data)
+    return data
+
+
+def encode_end(framing: Framing) -> bytes:
+    """Encodes the end of a body."""
+    return LAST_CHUNK if framing is Framing.CHUNKED else b""
+
+
+def refusal_head(refusal: Refusal, body: bytes) -> ResponseHead:
+    """Returns the response head that tells a refusal."""
+    headers = Headers(
+        (
+            (b"content-type", b"application/json"),
+            (RAN_HEADER, refusal.ran.value.encode()),
+            (REASON_HEADER, refusal.reason.value.encode()),
+        )
+    )
+    if refusal.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        headers = headers.having((b"retry-after", b"1"))
+    return ResponseHead(
+        status=refusal.status,
+        reason=_REASONS.get(refusal.status, b"Refused"),
+        headers=headers,
+        framing=Framing.LENGTH,
+        length=len(body),
+    )
+
+
+def refusal_body(refusal: Refusal) -> bytes:
+    """Returns the body that tells a refusal, as JSON."""
+    document = {
+        "error": refusal.reason.value,
+        "ran": refusal.ran.value,
+        "detail": refusal.detail,
+    }
+    return json.dumps(document).encode() + b"\n"
--- /dev/null
+++ b/src/fulmarrudder/call/collect.py
@@ -0,0 +1,47 @@
+"""A sink that collects a whole answer."""
+
+from twisted.internet.defer import Deferred
+
+from fulmarrudder.call.errors import CallError
+
+COLLECT_LIMIT = 8 * 1024 * 1024
+
+
+class Collector:
+    """Collects an answer's body in memory, up to `COLLECT_LIMIT` bytes.
+
+    Attributes:
+        whole: Deferred of the body; fails with `CallError`.
+    """
+
+    def __init__(self, limit: int = COLLECT_LIMIT):
+        self.limit = limit
+        self.parts: list[bytes] = []
+        self.size = 0
+        self.producer = None
+        self.whole: Deferred = Deferred()
+
+    def take_producer(self, producer) -> None:
+        """Notes what to stop when the answer is too large."""
+        self.producer = producer
+
+    def take_part(self, data: bytes) -> None:
+        """Takes a piece."""
+        if self.whole.called:
+            return
+        self.parts.append(data)
+        self.size += len(data)
+        if self.size > self.limit:
+            self.whole.errback(CallError("answer too large to collect"))
+            if self.producer is not None:
+                self.producer.stopProducing()
+
+    def take_end(self) -> None:
+        """Takes the end."""
+        if not self.whole.called:
+            self.whole.callback(b"".join(self.parts))
+
+    def take_broken(self) -> None:
+        """Learns that the rest will not come."""
+        if not self.whole.called:
+            self.whole.errback(CallError("answer was cut off"))
--- /dev/null
+++ b/src/fulmarrudder/call/entry.py
@@ -0,0 +1,411 @@
+"""Pipeline of an entry node: screen, route, choose, try, deliver."""
+
+import dataclasses
+import random
+
+from expression import Error, Ok, Result
+from twisted.internet.defer import CancelledError, TimeoutError
+
+from fulmarrudder.call.answer import Answer, WholeAnswer, refused
+from fulmarrudder.call.body import KEEP_BYTES, RequestBody
+from fulmarrudder.call.choose import Chooser
+from fulmarrudder.call.collect import Collector
+from fulmarrudder.call.errors import CallError, ConnectError
+from fulmarrudder.call.hop import hop_head, refusal_of
+from fulmarrudder.call.host import Host, HostRequest, LiveAnswer
+from fulmarrudder.call.message import (
+    IDEMPOTENCY_KEY_HEADER,
+    TIMEOUT_HEADER,
+    Framing,
+    Headers,
+    Ran,
+    Refusal,
+    RefusalReason,
+    RequestHead,
+)
+from fulmarrudder.call.retry import (
+    Answered,
+    Attempt,
+    Broken,
+    Declined,
+    Late,
+    Next,
+    RetryBudget,
+    next_after,
+)
+from fulmarrudder.call.route import Routed, RouteTable
+from fulmarrudder.call.screen import clean_response, screen, strip_own
+from fulmarrudder.call.share import versions_for
+from fulmarrudder.call.suspects import (
+    PREFIX_BYTES,
+    fingerprint_of,
+    refuse_suspect,
+)
+from fulmarrudder.call.upstream import Pool
+from fulmarrudder.clock import Clock, wall_seconds
+from fulmarrudder.fold import State
+from fulmarrudder.membership import FactStore
+from fulmarrudder.model import Presence
+from fulmarrudder.observe import Metrics, Spans
+from fulmarrudder.pipe import flow
+
+SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE"})
+KEY_LIMIT = 255
+HOP_GRACE_S = 0.25
+REFUSAL_BYTES = 65_536
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class InForce:
+    """What an entry node has in force.
+
+    Attributes:
+        state: The folded state, or None before there is one.
+        table: Routes of its arrangement.
+    """
+
+    state: State | None = None
+    table: RouteTable | None = None
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Call:
+    """A call under way at its entry node."""
+
+    head: RequestHead
+    routed: Routed
+    body: RequestBody
+    ready: object
+    deadline: float
+    idempotent: bool
+    key: str
+    fingerprint: str = ""
+    attempts: int = 0
+    tried: frozenset[str] = frozenset()
+    span: object = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Tried:
+    """How an attempt ended, with the answer that it gave, if any."""
+
+    ending: object
+    answer: Answer | None = None
+
+
+class Entry:
+    """Serves callers: routes, retries, and passes answers back.
+
+    Attributes:
+        in_force: The arrangement that requests are routed by.
+        budget: Bounds retries.
+        chooser: Chooses endpoints.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        pool: Pool,
+        host: Host,
+        node: str,
+        token: bytes,
+        facts: FactStore,
+        chooser: Chooser,
+        rng: random.Random,
+        spans: Spans,
+        metrics: Metrics,
+    ):
+        self.clock = clock
+        self.pool = pool
+        self.host = host
+        self.node = node
+        self.token = token
+        self.facts = facts
+        self.chooser = chooser
+        self.rng = rng
+        self.spans = spans
+        self.metrics = metrics
+        self.budget = RetryBudget()
+        self.in_force = InForce()
+
+    async def open(
+        self, head: RequestHead, body: RequestBody, ready, span
+    ) -> Answer:
+        """Serves one call.
+
+        Args:
+            head: Its head, as decoded.
+            body: Its body.
+            ready: Called once the body is wanted.
+            span: Span of the call, or None.
+
+        Returns:
+            The target's answer, or a refusal.
+        """
+        arrived = self.clock.seconds()
+        found = flow(head, (screen, self._arranged, self._match))
+        if found.is_error():
+            return refused(found.error)
+        planned = self._plan(found.ok, body, ready, arrived, span)
+        if planned.is_error():
+            return refused(planned.error)
+        call = planned.ok
+        ready()
+        prefix = await body.when_prefix(PREFIX_BYTES)
+        call.fingerprint = fingerprint_of(call.head, prefix)
+        suspect = refuse_suspect(self.facts, call.fingerprint, wall_seconds())
+        if suspect is not None:
+            return refused(suspect)
+        self.budget.deposit()
+        return await self._attempts(call)
+
+    def _arranged(self, head: RequestHead) -> Result[RequestHead, Refusal]:
+        if self.in_force.table is None:
+            return Error(
+                Refusal(
+                    status=503,
+                    reason=RefusalReason.NO_ARRANGEMENT,
+                    ran=Ran.NO,
+                    detail="node holds no configuration version yet",
+                )
+            )
+        return Ok(head)
+
+    def _match(self, head: RequestHead) -> Result[Routed, Refusal]:
+        return self.in_force.table.match(head)
+
+    def _plan(
+        self, routed: Routed, body, ready, arrived: float, span
+    ) -> Result[_Call, Refusal]:
+        head, route = routed.head, routed.route
+        timeout_ms = route.timeout_ms
+        asked = head.headers.get(TIMEOUT_HEADER)
+        if asked is not None:
+            if not asked.isdigit():
+                return Error(_bad_field("timeout is not a whole number"))
+            timeout_ms = min(timeout_ms, int(asked))
+        idempotent = route.idempotent or head.method in SAFE_METHODS
+        key = head.headers.get(IDEMPOTENCY_KEY_HEADER) or b""
+        if len(key) > KEY_LIMIT:
+            return Error(_bad_field("Idempotency-Key is too long"))
+        return Ok(
+            _Call(
+                head=strip_own(head),
+                routed=routed,
+                body=body,
+                ready=ready,
+                deadline=arrived + timeout_ms / 1000,
+                idempotent=idempotent,
+                key="" if idempotent else key.decode("latin-1"),
+                span=span,
+            )
+        )
+
+    async def _attempts(self, call: _Call) -> Answer:
+        last: Answer | None = None
+        while True:
+            presence = self._next_endpoint(call)
+            if presence is None:
+                return last or refused(_no_target(call))
+            call.attempts += 1
+            tried = await self._attempt(call, presence)
+            after = self._decide(call, tried)
+            self.metrics.count(
+                "fulmarrudder_attempts_total",
+                ("ending", type(tried.ending).__name__.lower()),
+                ("next", after.value),
+            )
+            if after is Next.DELIVER:
+                return tried.answer
+            refusal = self._refusal_for(tried)
+            if after is Next.REFUSE:
+                return refused(refusal)
+            if isinstance(tried.answer, LiveAnswer):
+                tried.answer.cancel()
+            last = refused(refusal)
+
+    def _decide(self, call: _Call, tried: _Tried) -> Next:
+        broken = isinstance(tried.ending, Broken)
+        attempt = Attempt(
+            repeatable=call.idempotent or (broken and bool(call.key)),
+            replayable=call.body.replayable,
+            number=call.attempts,
+        )
+        after = next_after(tried.ending, attempt)
+        if after is Next.RETRY and not self.budget.withdraw():
+            answered = isinstance(tried.ending, Answered)
+            return Next.DELIVER if answered else Next.REFUSE
+        if after is Next.RETRY and self.clock.seconds() >= call.deadline:
+            answered = isinstance(tried.ending, Answered)
+            return Next.DELIVER if answered else Next.REFUSE
+        return after
+
+    def _next_endpoint(self, call: _Call) -> Presence | None:
+        route = call.routed.route
+        versions = versions_for(
+            self.in_force.state,
+            route.service,
+            route.name,
+            self.facts.brakes,
+            self.rng,
+        )
+        present = self.facts.endpoints_of(route.service)
+        now = self.clock.seconds()
+        for version in versions:
+            chosen = self.chooser.choose(present, version, now, call.tried)
+            if chosen is not None:
+                call.tried = call.tried | {chosen.node}
+                return chosen
+        return None
+
+    async def _attempt(self, call: _Call, presence: Presence) -> _Tried:
+        request = self._request(call, presence)
+        started = self.clock.seconds()
+        self.chooser.sent(presence, started)
+        failed = True
+        try:
+            if presence.node == self.node:
+                answer = await self.host.open(request, call.body, call.ready)
+            else:
+                answer = await self._hop(request, call, presence)
+            tried = _tried_from(answer)
+            failed = _counts_as_failure(tried)
+        except ConnectError:
+            tried = _Tried(ending=Declined(refusal=_unreachable()))
+        except TimeoutError:
+            tried = _Tried(ending=Late())
+        except CallError:
+            tried = _Tried(ending=Broken())
+        except CancelledError:
+            failed = False
+            raise
+        finally:
+            now = self.clock.seconds()
+            self.chooser.finished(presence, now, now - started, failed=failed)
+        return tried
+
+    def _request(self, call: _Call, presence: Presence) -> HostRequest:
+        return HostRequest(
+            head=call.head,
+            service=presence.service,
+            target_version=presence.target_version,
+            route=call.routed.route.name,
+            fingerprint=call.fingerprint,
+            key=call.key,
+            repeatable=call.idempotent,
+            deadline=call.deadline,
+        )
+
+    async def _hop(
+        self, request: HostRequest, call: _Call, presence: Presence
+    ) -> Answer:
+        connection = await self.pool.take(
+            presence.call_address, fresh=not call.idempotent
+        )
+        now = self.clock.seconds()
+        waits = call.head.framing is Framing.CHUNKED or (
+            call.head.length > KEEP_BYTES
+        )
+        span = self.spans.start(
+            "attempt", self.spans.traceparent(call.span), server=False
+        )
+        head = hop_head(request, self.token, now, waits=waits)
+        head = traced(head, self.spans.traceparent(span))
+        exchange = connection.start(head, call.body, waits=waits)
+        left = max(0.0, request.deadline - now) + HOP_GRACE_S
+        try:
+            answer_head = await exchange.begun.addTimeout(left, self.clock)
+        finally:
+            self.spans.end(span, peer=presence.node, number=call.attempts)
+        answer = LiveAnswer(
+            clean_response(answer_head, from_target=False), exchange
+        )
+        refusal = refusal_of(answer_head)
+        if refusal is None:
+            return answer
+        collector = Collector(REFUSAL_BYTES)
+        answer.stream_to(collector)
+        data = await collector.whole
+        return WholeAnswer(answer.head, data, refusal)
+
+    def _refusal_for(self, tried: _Tried) -> Refusal:
+        ending = tried.ending
+        if isinstance(ending, Declined):
+            return ending.refusal
+        if isinstance(ending, Late):
+            return Refusal(
+                status=504,
+                reason=RefusalReason.DEADLINE,
+                ran=Ran.UNKNOWN,
+                detail="no answer in time",
+            )
+        return Refusal(
+            status=502,
+            reason=RefusalReason.BROKEN,
+            ran=Ran.UNKNOWN,
+            detail="connection was lost before an answer",
+        )
+
+
+def traced(head: RequestHead, traceparent: bytes | None) -> RequestHead:
+    """Returns a head that names a span in its W3C field."""
+    if traceparent is None:
+        return head
+    fields = tuple(f for f in head.headers.fields if f[0] != b"traceparent")
+    headers = Headers((*fields, (b"traceparent", traceparent)))
+    return dataclasses.replace(head, headers=headers)
+
+
+def _tried_from(answer: Answer) -> _Tried:
+    refusal = getattr(answer, "refusal", None)
+    if refusal is not None:
+        return _Tried(ending=Declined(refusal=refusal), answer=answer)
+    return _Tried(ending=Answered(status=answer.head.status), answer=answer)
+
+
+def _counts_as_failure(tried: _Tried) -> bool:
+    ending = tried.ending
+    if isinstance(ending, Answered):
+        return ending.status >= 500
+    if isinstance(ending, Declined):
+        return ending.refusal.reason in EJECTING_REASONS
+    return True
+
+
+EJECTING_REASONS = frozenset(
+    {
+        RefusalReason.UNREACHABLE,
+        RefusalReason.BROKEN,
+        RefusalReason.NO_TARGET,
+        RefusalReason.WRONG_TARGET,
+        RefusalReason.DEADLINE,
+    }
+)
+
+
+def _bad_field(detail: str) -> Refusal:
+    return Refusal(
+        status=400,
+        reason=RefusalReason.MALFORMED,
+        ran=Ran.NO,
+        detail=detail,
+    )
+
+
+def _unreachable() -> Refusal:
+    return Refusal(
+        status=503,
+        reason=RefusalReason.UNREACHABLE,
+        ran=Ran.NO,
+        detail="node beside the target could not be reached",
+    )
+
+
+def _no_target(call: _Call) -> Refusal:
+    return Refusal(
+        status=503,
+        reason=RefusalReason.NO_TARGET,
+        ran=Ran.NO,
+        detail=f"no target of {call.routed.route.service} to send to",
+    )
--- /dev/null
+++ b/src/fulmarrudder/call/hop.py
@@ -0,0 +1,110 @@
+"""Border between an entry node and the node beside a target.
+
+Deadlines cross as the time left and are stored as deadlines on arrival.
+"""
+
+import dataclasses
+
+from expression import Error, Ok, Result
+
+from fulmarrudder.call.host import HostRequest
+from fulmarrudder.call.message import (
+    FINGERPRINT_HEADER,
+    IDEMPOTENCY_KEY_HEADER,
+    PEER_HEADER,
+    RAN_HEADER,
+    REASON_HEADER,
+    REPEATABLE_HEADER,
+    ROUTE_HEADER,
+    TARGET_HEADER,
+    TIME_LEFT_HEADER,
+    Ran,
+    Refusal,
+    RefusalReason,
+    RequestHead,
+    ResponseHead,
+)
+from fulmarrudder.call.screen import malformed, strip_own
+
+TIME_LEFT_LIMIT_MS = 24 * 3600 * 1000
+REPEATABLE = b"yes"
+EXPECT = (b"expect", b"100-continue")
+
+
+def hop_head(
+    request: HostRequest, token: bytes, now: float, *, waits: bool
+) -> RequestHead:
+    """Builds the head that carries a request to another node.
+
+    Args:
+        request: The request.
+        token: Token by which nodes know each other.
+        now: Clock seconds.
+        waits: Whether the body waits until the other node wants it.
+    """
+    left_ms = max(0, int((request.deadline - now) * 1000))
+    target = f"{request.service}/{request.target_version}".encode()
+    fields = [
+        (PEER_HEADER, token),
+        (TIME_LEFT_HEADER, b"%d" % left_ms),
+        (TARGET_HEADER, target),
+        (ROUTE_HEADER, request.route.encode()),
+        (FINGERPRINT_HEADER, request.fingerprint.encode()),
+    ]
+    if request.repeatable:
+        fields.append((REPEATABLE_HEADER, REPEATABLE))
+    if waits:
+        fields.append(EXPECT)
+    headers = request.head.headers.having(*fields)
+    return dataclasses.replace(request.head, headers=headers)
+
+
+def host_request(head: RequestHead, now: float) -> Result[HostRequest, Refusal]:
+    """Reads the request that a hop's head carries.
+
+    Args:
+        head: A screened head from an authenticated node.
+        now: Clock seconds.
+
+    Returns:
+        The request, or a refusal when fields are missing or wrong.
+    """
+    headers = head.headers
+    left = headers.get(TIME_LEFT_HEADER) or b""
+    service, _, version = (headers.get(TARGET_HEADER) or b"").partition(b"/")
+    if not left.isdigit() or int(left) > TIME_LEFT_LIMIT_MS:
+        return Error(malformed("time left is missing or wrong"))
+    if not service or not version:
+        return Error(malformed("target is missing"))
+    repeatable = headers.get(REPEATABLE_HEADER) == REPEATABLE
+    key = b"" if repeatable else headers.get(IDEMPOTENCY_KEY_HEADER) or b""
+    return Ok(
+        HostRequest(
+            head=strip_own(head),
+            service=service.decode("latin-1"),
+            target_version=version.decode("latin-1"),
+            route=(headers.get(ROUTE_HEADER) or b"").decode("latin-1"),
+            fingerprint=(headers.get(FINGERPRINT_HEADER) or b"").decode(
+                "latin-1"
+            ),
+            key=key.decode("latin-1"),
+            repeatable=repeatable,
+            deadline=now + int(left) / 1000,
+        )
+    )
+
+
+def refusal_of(head: ResponseHead) -> Refusal | None:
+    """Returns the refusal that another node's answer tells, or None."""
+    ran = head.headers.get(RAN_HEADER)
+    reason = head.headers.get(REASON_HEADER)
+    if ran is None or reason is None:
+        return None
+    try:
+        return Refusal(
+            status=head.status,
+            reason=RefusalReason(reason.decode("latin-1")),
+            ran=Ran(ran.decode("latin-1")),
+        )
+    except ValueError:
+        return None
--- /dev/null
+++ b/src/fulmarrudder/call/host.py
@@ -0,0 +1,397 @@
+"""Pipeline of the node beside a target: admit, claim, forward, count.
+
+This node owns the target's connections and slots, so it alone can say that a
+request did not run.
+"""
+
+import dataclasses
+import random
+
+from twisted.internet.defer import Deferred, TimeoutError, ensureDeferred
+
+from fulmarrudder.call.answer import Answer, WholeAnswer, refused
+from fulmarrudder.call.body import RequestBody
+from fulmarrudder.call.claims import (
+    Away,
+    Claims,
+    Mine,
+    Pending,
+    Reused,
+    Settled,
+)
+from fulmarrudder.call.collect import Collector
+from fulmarrudder.call.errors import CallError, ConnectError, SlotError
+from fulmarrudder.call.message import (
+    Framing,
+    Headers,
+    Ran,
+    Refusal,
+    RefusalReason,
+    RequestHead,
+    ResponseHead,
+)
+from fulmarrudder.call.screen import clean_response
+from fulmarrudder.call.slots import Slots
+from fulmarrudder.call.suspects import STRIKE_S, refuse_suspect
+from fulmarrudder.call.tally import Tallies
+from fulmarrudder.call.upstream import BrokenError, Ended, Exchange, Pool
+from fulmarrudder.clock import wall_seconds
+from fulmarrudder.membership import Beside, FactStore
+from fulmarrudder.model import Condition, SettleKey, Strike
+
+COLD_S = 5.0
+KEPT_ANSWER_BYTES = 4_096
+FAILED_FROM = 500
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HostRequest:
+    """A request for the target beside this node.
+
+    Attributes:
+        head: The head for the target.
+        service: Service that the entry node meant.
+        target_version: Target version that the entry node meant.
+        route: Name of the route.
+        fingerprint: Digest of the request.
+        key: Idempotency key, or empty when none needs claiming.
+        repeatable: Whether a second run would do no harm.
+        deadline: Clock seconds.
+    """
+
+    head: RequestHead
+    service: str
+    target_version: str
+    route: str
+    fingerprint: str
+    key: str
+    repeatable: bool
+    deadline: float
+
+
+class LiveAnswer:
+    """An answer that still comes from the target."""
+
+    __slots__ = ("exchange", "head")
+
+    def __init__(self, head: ResponseHead, exchange: Exchange):
+        self.head = head
+        self.exchange = exchange
+
+    def stream_to(self, sink) -> None:
+        """Sends the body to a sink."""
+        self.exchange.stream_to(sink)
+
+    def cancel(self) -> None:
+        """Gives the answer up, which cancels the target's work."""
+        self.exchange.cancel()
+
+
+class Host:
+    """Serves requests with the target beside this node.
+
+    Attributes:
+        leaving: Whether new requests are refused because of a stop.
+        in_flight: Requests under way.
+        spread: Called with facts to spread.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock,
+        pool: Pool,
+        beside: Beside,
+        facts: FactStore,
+        log,
+        rng: random.Random,
+        spread,
+    ):
+        self.clock = clock
+        self.pool = pool
+        self.beside = beside
+        self.facts = facts
+        self.log = log
+        self.rng = rng
+        self.spread = spread
+        self.slots = Slots(clock)
+        self.tallies = Tallies()
+        self.claims: dict[str, Claims] = {}
+        self.leaving = False
+        self.in_flight = 0
+
+    def announced(self) -> None:
+        """Takes over the slots that the target announced."""
+        if self.beside.latest is not None:
+            self.slots.resize(self.beside.latest.slots)
+
+    async def open(
+        self, request: HostRequest, body: RequestBody, ready
+    ) -> Answer:
+        """Runs a request, or says why it did not run.
+
+        Args:
+            request: The request.
+            body: Its body.
+            ready: Called once the body is wanted.
+
+        Returns:
+            The target's answer, or a refusal.
+        """
+        refusal = self.refuse(request)
+        if refusal is not None:
+            return refused(refusal)
+        try:
+            await self.slots.acquire(request.deadline)
+        except SlotError as error:
+            return refused(_not_run(RefusalReason.OVERLOADED, str(error)))
+        hold = _Hold(self)
+        try:
+            if not request.key:
+                return await self._run(request, body, ready, hold)
+            return await self._run_claimed(request, body, ready, hold)
+        finally:
+            hold.settle()
+
+    def refuse(self, request: HostRequest) -> Refusal | None:
+        """Says why a request may not run now, or None."""
+        latest = self.beside.latest
+        condition = self.beside.condition
+        if self.leaving or condition is Condition.LEAVING:
+            return _not_run(RefusalReason.LEAVING, "target is leaving")
+        if latest is None or condition is not Condition.READY:
+            return _not_run(RefusalReason.NO_TARGET, "no target beside node")
+        wanted = (request.service, request.target_version)
+        if wanted != (latest.service, latest.target_version):
+            return _not_run(RefusalReason.WRONG_TARGET, "another target here")
+        if request.deadline <= self.clock.seconds():
+            return _not_run(RefusalReason.DEADLINE, "no time left", 504)
+        return refuse_suspect(self.facts, request.fingerprint, wall_seconds())
+
+    async def _run_claimed(self, request, body, ready, hold) -> Answer:
+        claims = self._claims_of(request.service)
+        claimed = await claims.claim(
+            request.key, request.fingerprint, request.deadline
+        )
+        if not isinstance(claimed, Mine):
+            return _claim_answer(claimed)
+        # From here on the request may run, so that neither a lost caller nor
+        # a lost entry node may end it before its answer is kept.
+        hold.shared = True
+        running = ensureDeferred(
+            self._run_to_end(request, body, ready, hold, claims, claimed)
+        )
+        waiting: Deferred = Deferred()
+        running.addBoth(_pass_to, waiting)
+        return await waiting
+
+    async def _run_to_end(
+        self, request, body, ready, hold, claims: Claims, claimed: Mine
+    ) -> Answer:
+        try:
+            answer = await self._run(request, body, ready, hold)
+            if isinstance(answer, WholeAnswer):
+                if answer.refusal and answer.refusal.ran is Ran.NO:
+                    claims.release(request.key, claimed.claim)
+                return answer
+            collector = Collector()
+            answer.stream_to(collector)
+            data = await collector.whole
+        except CallError as error:
+            return refused(_unknown(str(error)))
+        finally:
+            hold.shared = False
+            hold.settle()
+        claims.settle(_settlement(request.key, claimed, answer.head, data))
+        head = dataclasses.replace(
+            answer.head, framing=Framing.LENGTH, length=len(data)
+        )
+        return WholeAnswer(head, data)
+
+    async def _run(self, request, body, ready, hold) -> Answer:
+        address = self.beside.latest.address
+        incarnation = self.beside.latest.incarnation
+        try:
+            connection = await self.pool.take(
+                address, fresh=not request.repeatable
+            )
+        except ConnectError:
+            return refused(
+                _not_run(
+                    RefusalReason.UNREACHABLE, "target refuses connections"
+                )
+            )
+        ready()
+        started = self.clock.seconds()
+        exchange = connection.start(request.head, body)
+        hold.take(exchange)
+        left = max(0.0, request.deadline - started)
+        try:
+            head = await exchange.begun.addTimeout(left, self.clock)
+        except TimeoutError:
+            self._tally(request, started, failed=True)
+            return refused(
+                Refusal(
+                    status=504,
+                    reason=RefusalReason.DEADLINE,
+                    ran=Ran.UNKNOWN,
+                    detail="target gave no answer in time",
+                )
+            )
+        except BrokenError as error:
+            if body.lost:
+                return refused(_unknown("request body was cut off"))
+            self._tally(request, started, failed=True)
+            self._strike(request, incarnation)
+            return refused(_unknown(f"target closed: {error}"))
+        failed = head.status >= FAILED_FROM
+        self._tally(request, started, failed=failed)
+        return LiveAnswer(clean_response(head, from_target=True), exchange)
+
+    def _tally(self, request: HostRequest, started: float, *, failed) -> None:
+        now = self.clock.seconds()
+        cold = now - self.beside.since < COLD_S
+        self.tallies.note(
+            request.service,
+            request.target_version,
+            request.route,
+            failed=failed,
+            took_s=None if cold else now - started,
+        )
+
+    def _strike(self, request: HostRequest, incarnation: int) -> None:
+        address = self.beside.latest.address
+        self.spread(
+            Strike(
+                fingerprint=request.fingerprint,
+                death=f"{address}/{incarnation}",
+                expires=wall_seconds() + STRIKE_S,
+            )
+        )
+
+    def _claims_of(self, service: str) -> Claims:
+        if service not in self.claims:
+            self.claims[service] = Claims(
+                self.log, service, self.clock, self.rng
+            )
+        return self.claims[service]
+
+
+class _Hold:
+    """A slot in use, given back once whatever comes first."""
+
+    __slots__ = ("exchange", "host", "open", "shared")
+
+    def __init__(self, host: Host):
+        self.host = host
+        self.exchange: Exchange | None = None
+        self.open = True
+        self.shared = False
+        host.in_flight += 1
+
+    def take(self, exchange: Exchange) -> None:
+        self.exchange = exchange
+        exchange.on_end = self._ended
+
+    def settle(self) -> None:
+        """Gives the slot back unless an exchange still uses it."""
+        if self.shared:
+            return
+        if self.exchange is None or self.exchange.on_end is None:
+            self._release()
+
+    def _ended(self, ended: Ended) -> None:
+        self.exchange = None
+        if not self.shared:
+            self._release()
+
+    def _release(self) -> None:
+        if self.open:
+            self.open = False
+            self.host.in_flight -= 1
+            self.host.slots.release()
+
+
+def _pass_to(result, waiting: Deferred) -> None:
+    if not waiting.called:
+        waiting.callback(result)
+
+
+def _not_run(reason: RefusalReason, detail: str, status: int = 503) -> Refusal:
+    return Refusal(status=status, reason=reason, ran=Ran.NO, detail=detail)
+
+
+def _unknown(detail: str) -> Refusal:
+    return Refusal(
+        status=502,
+        reason=RefusalReason.BROKEN,
+        ran=Ran.UNKNOWN,
+        detail=detail,
+    )
+
+
+def _claim_answer(claimed) -> WholeAnswer:
+    if isinstance(claimed, Settled):
+        return _settled_answer(claimed.answer)
+    if isinstance(claimed, Away):
+        return refused(
+            _not_run(RefusalReason.CLAIMS_AWAY, "key could not be claimed")
+        )
+    if isinstance(claimed, Reused):
+        return refused(
+            _not_run(
+                RefusalReason.KEY_REUSED, "key belongs to another request", 422
+            )
+        )
+    assert isinstance(claimed, Pending)
+    return refused(
+        Refusal(
+            status=409,
+            reason=RefusalReason.KEY_PENDING,
+            ran=Ran.UNKNOWN,
+            detail="key is claimed and its outcome is not known",
+        )
+    )
+
+
+def _settled_answer(settled: SettleKey) -> WholeAnswer:
+    if settled.body is None:
+        return refused(
+            Refusal(
+                status=409,
+                reason=RefusalReason.KEY_SETTLED,
+                ran=Ran.YES,
+                detail=f"ran with status {settled.status}; answer not kept",
+            )
+        )
+    data = settled.body.encode("latin-1")
+    fields = Headers(
+        (
+            (b"content-type", settled.content_type.encode("latin-1")),
+            (b"idempotent-replayed", b"true"),
+        )
+    )
+    head = ResponseHead(
+        status=settled.status,
+        reason=b"",
+        headers=fields,
+        framing=Framing.LENGTH,
+        length=len(data),
+    )
+    return WholeAnswer(head, data)
+
+
+def _settlement(
+    key: str, claimed: Mine, head: ResponseHead, data: bytes
+) -> SettleKey:
+    kept = len(data) <= KEPT_ANSWER_BYTES
+    media_type = (
+        head.headers.get(b"content-type") or b"application/octet-stream"
+    )
+    return SettleKey(
+        key=key,
+        claim=claimed.claim,
+        status=head.status,
+        content_type=media_type.decode("latin-1"),
+        body=data.decode("latin-1") if kept else None,
+    )
--- /dev/null
+++ b/src/fulmarrudder/call/message.py
@@ -0,0 +1,142 @@
+"""Messages that flow along the call path."""
+
+import dataclasses
+import enum
+
+PEER_HEADER = b"fulmarrudder-peer"
+TIME_LEFT_HEADER = b"fulmarrudder-time-left-ms"
+TIMEOUT_HEADER = b"fulmarrudder-timeout-ms"
+TARGET_HEADER = b"fulmarrudder-target"
+ROUTE_HEADER = b"fulmarrudder-route"
+FINGERPRINT_HEADER = b"fulmarrudder-fingerprint"
+REPEATABLE_HEADER = b"fulmarrudder-repeatable"
+RAN_HEADER = b"fulmarrudder-ran"
+REASON_HEADER = b"fulmarrudder-reason"
+OWN_PREFIX = b"fulmarrudder-"
+IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Headers:
+    """Header fields in their order; names are lower case.
+
+    Attributes:
+        fields: Pairs of name and value.
+    """
+
+    fields: tuple[tuple[bytes, bytes], ...] = ()
+
+    def get(self, name: bytes) -> bytes | None:
+        """Returns the first value of a field, or None."""
+        for found, value in self.fields:
+            if found == name:
+                return value
+        return None
+
+    def count(self, name: bytes) -> int:
+        """Counts the fields with a name."""
+        return sum(1 for found, _ in self.fields if found == name)
+
+    def having(self, *fields: tuple[bytes, bytes]) -> "Headers":
+        """Returns the headers with fields added at the end."""
+        return Headers(self.fields + fields)
+
+
+class Framing(enum.Enum):
+    """How the end of a body is told."""
+
+    NONE = "none"
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestHead:
+    """Head of a request.
+
+    Attributes:
+        target: Path and query, as sent.
+        length: Length of the body in bytes when framing is LENGTH.
+        keep_alive: Whether the connection may serve another request.
+        modern: Whether the sender speaks HTTP/1.1 rather than 1.0.
+    """
+
+    method: bytes
+    target: bytes
+    headers: Headers
+    framing: Framing = Framing.NONE
+    length: int = 0
+    keep_alive: bool = True
+    modern: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ResponseHead:
+    """Head of a response."""
+
+    status: int
+    reason: bytes
+    headers: Headers
+    framing: Framing = Framing.NONE
+    length: int = 0
+    keep_alive: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyPart:
+    """A piece of a body."""
+
+    data: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BodyEnd:
+    """The end of a message."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Continue:
+    """The other side is ready for the body."""
+
+
+class Ran(enum.Enum):
+    """Whether the request that is refused ran."""
+
+    NO = "no"
+    YES = "yes"
+    UNKNOWN = "unknown"
+
+
+class RefusalReason(enum.Enum):
+    """Why a request is refused; the value goes to the caller."""
+
+    MALFORMED = "malformed-request"
+    TOO_LARGE_HEADERS = "headers-too-large"
+    UNSUPPORTED = "not-supported"
+    NO_ROUTE = "no-route"
+    NO_ARRANGEMENT = "no-arrangement-yet"
+    NO_TARGET = "no-target"
+    OVERLOADED = "overloaded"
+    LEAVING = "leaving"
+    WRONG_TARGET = "wrong-target"
+    NOT_A_PEER = "not-a-peer"
+    SUSPECT = "crashed-targets-before"
+    DEADLINE = "deadline-passed"
+    UNREACHABLE = "target-unreachable"
+    BROKEN = "connection-broken"
+    CLAIMS_AWAY = "claims-unavailable"
+    KEY_REUSED = "idempotency-key-reused"
+    KEY_PENDING = "idempotency-key-pending"
+    KEY_SETTLED = "already-ran"
+    STOPPED = "stopped"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Refusal:
+    """An answer of the system's own in place of the target's."""
+
+    status: int
+    reason: RefusalReason
+    ran: Ran
+    detail: str = ""
--- /dev/null
+++ b/src/fulmarrudder/call/retry.py
@@ -0,0 +1,145 @@
+"""Decisions on what follows an attempt; pure but for the budget's tokens."""
+
+import dataclasses
+import enum
+from functools import singledispatch
+
+from fulmarrudder.call.message import Ran, Refusal, RefusalReason
+
+MOST_ATTEMPTS = 3
+BUDGET_RATIO = 0.1
+BUDGET_LIMIT = 20.0
+RETRIED_STATUS = frozenset({502, 503, 504})
+
+
+class Next(enum.Enum):
+    """What follows an attempt."""
+
+    DELIVER = "deliver"
+    RETRY = "retry"
+    REFUSE = "refuse"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Answered:
+    """The target answered."""
+
+    status: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Declined:
+    """The node beside the target, or this one, refused."""
+
+    refusal: Refusal
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Broken:
+    """The connection was lost after the request was sent."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Late:
+    """The deadline passed before an answer."""
+
+
+Ending = Answered | Declined | Broken | Late
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """What is known when an attempt has ended.
+
+    Attributes:
+        repeatable: Whether a second run would do no harm, because the
+            request is idempotent or its key is claimed before it runs.
+        replayable: Whether the whole body is still at hand.
+        number: Attempts made so far.
+    """
+
+    repeatable: bool
+    replayable: bool
+    number: int
+
+
+class RetryBudget:
+    """Bounds retries to a share of requests.
+
+    Attributes:
+        tokens: Retries that may be made now.
+    """
+
+    __slots__ = ("tokens",)
+
+    def __init__(self):
+        self.tokens = BUDGET_LIMIT
+
+    def deposit(self) -> None:
+        """Notes a request."""
+        self.tokens = min(BUDGET_LIMIT, self.tokens + BUDGET_RATIO)
+
+    def withdraw(self) -> bool:
+        """Takes a retry out of the budget, if it holds one."""
+        if self.tokens < 1.0:
+            return False
+        self.tokens -= 1.0
+        return True
+
+
+@singledispatch
+def next_after(ending: Ending, attempt: Attempt) -> Next:
+    """Decides what follows an attempt.
+
+    Args:
+        ending: How the attempt ended.
+        attempt: What else is known of it.
+
+    Returns:
+        Whether to deliver, to try again, or to refuse.
+    """
+    raise TypeError(f"not an ending: {type(ending).__name__}")
+
+
+@next_after.register
+def _(ending: Answered, attempt: Attempt) -> Next:
+    again = ending.status in RETRIED_STATUS and attempt.repeatable
+    return _retry_or(Next.DELIVER, again, attempt)
+
+
+@next_after.register
+def _(ending: Declined, attempt: Attempt) -> Next:
+    refusal = ending.refusal
+    final = refusal.reason in FINAL_REASONS
+    again = refusal.ran is Ran.NO and not final
+    return _retry_or(Next.REFUSE, again, attempt)
+
+
+@next_after.register
+def _(ending: Broken, attempt: Attempt) -> Next:
+    return _retry_or(Next.REFUSE, attempt.repeatable, attempt)
+
+
+@next_after.register
+def _(ending: Late, attempt: Attempt) -> Next:
+    return Next.REFUSE
+
+
+FINAL_REASONS = frozenset(
+    {
+        RefusalReason.MALFORMED,
+        RefusalReason.SUSPECT,
+        RefusalReason.DEADLINE,
+        RefusalReason.KEY_REUSED,
+        RefusalReason.CLAIMS_AWAY,
+        RefusalReason.NOT_A_PEER,
+    }
+)
+
+
+def _retry_or(otherwise: Next, again: bool, attempt: Attempt) -> Next:
+    if not again or not attempt.replayable:
+        return otherwise
+    if attempt.number >= MOST_ATTEMPTS:
+        return otherwise
+    return Next.RETRY
--- /dev/null
+++ b/src/fulmarrudder/call/suspects.py
@@ -0,0 +1,54 @@
+"""Filter: requests that were in flight when targets died."""
+
+import hashlib
+
+from fulmarrudder.call.message import (
+    IDEMPOTENCY_KEY_HEADER,
+    Ran,
+    Refusal,
+    RefusalReason,
+    RequestHead,
+)
+from fulmarrudder.membership import FactStore
+
+PREFIX_BYTES = 1_024
+DIGEST_BYTES = 12
+DEATHS_ALLOWED = 1
+STRIKE_S = 600.0
+
+
+def fingerprint_of(head: RequestHead, prefix: bytes) -> str:
+    """Returns the digest by which a request is recognised when sent again.
+
+    Args:
+        head: Its head.
+        prefix: The first `PREFIX_BYTES` of its body.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    key = head.headers.get(IDEMPOTENCY_KEY_HEADER) or b""
+    for part in (head.method, head.target, key, prefix):
+        digest.update(len(part).to_bytes(4, "big"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+def refuse_suspect(
+    facts: FactStore, fingerprint: str, wall: float
+) -> Refusal | None:
+    """Refuses a request after its second death.
+
+    Args:
+        facts: Facts known here.
+        fingerprint: Digest of the request.
+        wall: Wall-clock seconds.
+    """
+    if not facts.strikes:
+        return None
+    if facts.strikes_against(fingerprint, wall) <= DEATHS_ALLOWED:
+        return None
+    return Refusal(
+        status=503,
+        reason=RefusalReason.SUSPECT,
+        ran=Ran.NO,
+        detail="targets died while they ran this request",
+    )
--- /dev/null
+++ b/src/fulmarrudder/call/tally.py
@@ -0,0 +1,82 @@
+"""Filter: counts what targets made of their requests, for evidence."""
+
+import dataclasses
+
+from fulmarrudder.model import Tally
+
+BUCKETS = 16
+FIRST_BUCKET_S = 0.001
+
+
+@dataclasses.dataclass(slots=True)
+class _Counts:
+    requests: int = 0
+    failures: int = 0
+    slow: list[int] = dataclasses.field(default_factory=lambda: [0] * BUCKETS)
+
+
+def bucket_of(took_s: float) -> int:
+    """Returns the latency bucket; upper bounds double from 1 ms."""
+    bound = FIRST_BUCKET_S
+    for index in range(BUCKETS - 1):
+        if took_s <= bound:
+            return index
+        bound *= 2
+    return BUCKETS - 1
+
+
+class Tallies:
+    """Cumulative counts by target version and route.
+
+    Attributes:
+        counts: Counts by service, target version and route.
+    """
+
+    def __init__(self):
+        self.counts: dict[tuple[str, str, str], _Counts] = {}
+
+    def note(
+        self,
+        service: str,
+        version: str,
+        route: str,
+        *,
+        failed: bool,
+        took_s: float | None,
+    ) -> None:
+        """Counts one request.
+
+        Args:
+            service: The target's service.
+            version: The target's version.
+            route: The route that the request took.
+            failed: Whether the target failed it.
+            took_s: Time until the answer's head; None when it should not
+                count, as on a target that is still cold.
+        """
+        key = (service, version, route)
+        counts = self.counts.get(key)
+        if counts is None:
+            counts = self.counts[key] = _Counts()
+        counts.requests += 1
+        counts.failures += failed
+        if took_s is not None:
+            counts.slow[bucket_of(took_s)] += 1
+
+    def of_service(self, service: str) -> tuple[Tally, ...]:
+        """Returns the tallies of a service."""
+        tallies = []
+        for key, counts in sorted(self.counts.items()):
+            if key[0] != service:
+                continue
+            tallies.append(
+                Tally(
+                    service=key[0],
+                    target_version=key[1],
+                    route=key[2],
+                    requests=counts.requests,
+                    failures=counts.failures,
+                    slow=tuple(counts.slow),
+                )
+            )
+        return tuple(tallies)
--- /dev/null
+++ b/src/fulmarrudder/distribution/codec.py
@@ -0,0 +1,93 @@
+"""Border of the links: CBOR to typed messages and back."""
+
+import cbor2
+from expression import Error, Ok, Result
+
+from fulmarrudder.border import Kinds
+from fulmarrudder.distribution.errors import MessageError
+from fulmarrudder.distribution.message import (
+    Delta,
+    Hello,
+    InStep,
+    Interest,
+    Message,
+    Nominate,
+    Placed,
+    Redirect,
+    Resync,
+    Spread,
+    Whole,
+)
+from fulmarrudder.model import (
+    Brake,
+    Evidence,
+    Held,
+    Presence,
+    Strike,
+    Summary,
+)
+
+MESSAGE_KINDS = Kinds(
+    hello=Hello,
+    placed=Placed,
+    redirect=Redirect,
+    delta=Delta,
+    whole=Whole,
+    in_step=InStep,
+    resync=Resync,
+    interest=Interest,
+    nominate=Nominate,
+)
+FACT_KINDS = Kinds(
+    presence=Presence,
+    brake=Brake,
+    strike=Strike,
+    held=Held,
+    evidence=Evidence,
+    summary=Summary,
+)
+SPREAD = "spread"
+
+
+def encode(message: Message) -> bytes:
+    """Encodes a message."""
+    if isinstance(message, Spread):
+        facts = [
+            FACT_KINDS.dump(fact, json_types=True) for fact in message.facts
+        ]
+        document = {"k": SPREAD, "d": facts}
+    else:
+        document = MESSAGE_KINDS.dump(message, json_types=True)
+    return cbor2.dumps(document, string_referencing=True)
+
+
+def decode(data: bytes) -> Result[Message, MessageError]:
+    """Decodes and validates a message.
+
+    Args:
+        data: A frame's payload.
+
+    Returns:
+        The message, or why the bytes are not one.
+    """
+    try:
+        document = cbor2.loads(data)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        return Error(MessageError(str(error)))
+    if isinstance(document, dict) and document.get("k") == SPREAD:
+        return _decode_spread(document.get("d"))
+    return MESSAGE_KINDS.load(document).map_error(
+        lambda error: MessageError(str(error))
+    )
+
+
+def _decode_spread(documents) -> Result[Message, MessageError]:
+    if not isinstance(documents, list):
+        return Error(MessageError("spread holds no list"))
+    facts = []
+    for document in documents:
+        loaded = FACT_KINDS.load(document)
+        if loaded.is_error():
+            return Error(MessageError(str(loaded.error)))
+        facts.append(loaded.ok)
+    return Ok(Spread(facts=tuple(facts)))
--- /dev/null
+++ b/src/fulmarrudder/distribution/dial.py
@@ -0,0 +1,47 @@
+"""Opens links to other nodes."""
+
+from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.protocol import Factory
+
+from fulmarrudder.distribution.link import Link, LinkHandler
+from fulmarrudder.observe import Metrics
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class Dialer:
+    """Opens links from this node.
+
+    Attributes:
+        token: Token by which nodes know each other.
+    """
+
+    def __init__(self, reactor, token: bytes, metrics: Metrics):
+        self.reactor = reactor
+        self.token = token
+        self.metrics = metrics
+
+    def dial(self, address: str, handler: LinkHandler) -> Link:
+        """Opens a link; the handler learns when it is open or closed.
+
+        Args:
+            address: host:port of the other node's mesh listener.
+            handler: Takes what happens on the link.
+        """
+        link = Link(
+            self.reactor, handler, self.token, self.metrics, address=address
+        )
+        host, _, port = address.rpartition(":")
+        endpoint = TCP4ClientEndpoint(
+            self.reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        )
+        factory = Factory.forProtocol(lambda: link)
+        factory.noisy = False
+        endpoint.connect(factory).addErrback(lambda failure: _failed(link))
+        return link
+
+
+def _failed(link: Link) -> None:
+    if not link.closed:
+        link.closed = True
+        link.handler.link_closed(link)
--- /dev/null
+++ b/src/fulmarrudder/distribution/spread.py
@@ -0,0 +1,266 @@
+"""Pipeline of facts between links: merge what is news, pass it on.
+
+Where a fact goes depends on its kind and on where it came from.
+"""
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Callable, Iterable
+from functools import singledispatch
+
+from fulmarrudder.clock import Clock, wall_seconds
+from fulmarrudder.distribution.children import Children
+from fulmarrudder.distribution.link import Link
+from fulmarrudder.distribution.message import Spread
+from fulmarrudder.distribution.peers import Peers
+from fulmarrudder.distribution.uplink import Uplink
+from fulmarrudder.membership import FactStore
+from fulmarrudder.model import (
+    Brake,
+    Condition,
+    Evidence,
+    Fact,
+    Held,
+    Presence,
+    Strike,
+    Summary,
+    key_of,
+    order_of,
+)
+
+FLUSH_S = 0.05
+LOST_GRACE_S = 4.0
+FACTS_PER_MESSAGE = 500
+URGENT = (Brake, Strike)
+
+
+class Origin(enum.Enum):
+    """Where a fact came from, as seen by this node."""
+
+    SELF = "self"
+    BELOW = "below"
+    ABOVE = "above"
+    PEER = "peer"
+
+
+OWN_SIDE = frozenset({Origin.SELF, Origin.BELOW})
+
+
+class Spreader:
+    """Merges facts and passes news on to the links that want them.
+
+    Attributes:
+        via: For each node, the link by which its presence last came from
+            within this data centre.
+        controller: Returns the id of the node that holds the controller's
+            duty, or empty.
+        on_news: Called with each fact that was news.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        facts: FactStore,
+        uplink: Uplink,
+        children: Children,
+        peers: Peers,
+        data_centre: str,
+        is_relay: Callable[[], bool],
+        controller: Callable[[], str],
+        on_news: Callable[[Fact], None],
+    ):
+        self.clock = clock
+        self.facts = facts
+        self.uplink = uplink
+        self.children = children
+        self.peers = peers
+        self.data_centre = data_centre
+        self.is_relay = is_relay
+        self.controller = controller
+        self.on_news = on_news
+        self.via: dict[str, Link] = {}
+        self.outbox: dict[Link, dict] = collections.defaultdict(dict)
+        self.flushing = None
+
+    def tell(self, fact: Fact) -> None:
+        """Spreads a fact of this node's own."""
+        self._take(fact, Origin.SELF, None)
+
+    def receive(self, facts: Iterable[Fact], link: Link, origin: Origin):
+        """Takes facts from a link.
+
+        Args:
+            facts: The facts.
+            link: The link that they came by.
+            origin: What is on its other side.
+        """
+        for fact in facts:
+            self._note_via(fact, link, origin)
+            self._take(fact, origin, link)
+
+    def introduce(self, link: Link, facts: Iterable[Fact]) -> None:
+        """Sends facts to a link that has just opened."""
+        batch: list[Fact] = []
+        for fact in facts:
+            batch.append(fact)
+            if len(batch) == FACTS_PER_MESSAGE:
+                link.send(Spread(facts=tuple(batch)))
+                batch = []
+        if batch:
+            link.send(Spread(facts=tuple(batch)))
+
+    def for_child(self, services: frozenset[str] | None) -> Iterable[Fact]:
+        """Yields what a child needs that wants some services."""
+        for fact in tuple(self.facts.facts.values()):
+            if isinstance(fact, URGENT):
+                yield fact
+            elif isinstance(fact, Presence):
+                lost = fact.condition is Condition.LOST
+                wanted = services is None or fact.service in services
+                if wanted and not lost:
+                    yield fact
+
+    def for_parent(self) -> Iterable[Fact]:
+        """Yields what a parent needs to know of this node's subtree."""
+        for fact in tuple(self.facts.facts.values()):
+            if isinstance(fact, URGENT):
+                yield fact
+            elif isinstance(fact, Presence | Held):
+                if self.via.get(fact.node) in self.children.by_link:
+                    yield fact
+
+    def for_peer(self) -> Iterable[Fact]:
+        """Yields what another relay needs to know of this data centre."""
+        for fact in tuple(self.facts.facts.values()):
+            if isinstance(fact, URGENT):
+                yield fact
+            elif isinstance(fact, Presence):
+                if fact.data_centre == self.data_centre:
+                    yield fact
+
+    def link_gone(self, link: Link) -> None:
+        """Declares nodes lost that do not turn up elsewhere in time."""
+        self.outbox.pop(link, None)
+        for node, last in tuple(self.via.items()):
+            if last is not link:
+                continue
+            presence = self.facts.presence_of(node)
+            if presence is None:
+                continue
+            self.clock.callLater(
+                LOST_GRACE_S, self._declare_lost, presence, link
+            )
+
+    def _declare_lost(self, presence: Presence, link: Link) -> None:
+        if self.via.get(presence.node) is not link:
+            return
+        now = self.facts.presence_of(presence.node)
+        if now is None or order_of(now) != order_of(presence):
+            return
+        del self.via[presence.node]
+        self.tell(dataclasses.replace(now, condition=Condition.LOST))
+
+    def _note_via(self, fact: Fact, link: Link, origin: Origin) -> None:
+        if not isinstance(fact, Presence) or origin is Origin.ABOVE:
+            return
+        if fact.data_centre != self.data_centre:
+            return
+        known = self.facts.presence_of(fact.node)
+        if known is None or order_of(fact) >= order_of(known):
+            self.via[fact.node] = link
+
+    def _take(self, fact: Fact, origin: Origin, link: Link | None) -> None:
+        if not self.facts.merge(fact, self.clock.seconds()):
+            return
+        for destination in _destinations(fact, self, origin):
+            if destination is not link:
+                self._queue(destination, fact)
+        if isinstance(fact, URGENT):
+            self.flush()
+        self.on_news(fact)
+
+    def _queue(self, link: Link, fact: Fact) -> None:
+        self.outbox[link][key_of(fact)] = fact
+        if self.flushing is None:
+            self.flushing = self.clock.callLater(FLUSH_S, self.flush)
+
+    def flush(self) -> None:
+        """Sends what has been queued."""
+        if self.flushing is not None and self.flushing.active():
+            self.flushing.cancel()
+        self.flushing = None
+        outbox, self.outbox = self.outbox, collections.defaultdict(dict)
+        for link, queued in outbox.items():
+            self.introduce(link, queued.values())
+
+    def expire(self) -> None:
+        """Forgets what has had its time."""
+        self.facts.expire(self.clock.seconds(), wall_seconds())
+
+    def links_up(self) -> list[Link]:
+        """Returns the parent's link, if there is a parent."""
+        return [self.uplink.link] if self.uplink.placed else []
+
+    def links_down(self, service: str) -> list[Link]:
+        """Returns the children's links that want a service."""
+        children = self.children.by_link.values()
+        return [child.link for child in children if child.wants(service)]
+
+
+@singledispatch
+def _destinations(fact: Fact, spreader: Spreader, origin: Origin) -> list[Link]:
+    raise TypeError(f"not a fact: {type(fact).__name__}")
+
+
+@_destinations.register
+def _(fact: Presence, spreader: Spreader, origin: Origin) -> list[Link]:
+    links = spreader.links_down(fact.service)
+    if origin in OWN_SIDE:
+        links += spreader.links_up()
+        links += spreader.peers.by_node.values()
+    return links
+
+
+@_destinations.register
+def _(fact: Brake, spreader: Spreader, origin: Origin) -> list[Link]:
+    return _everywhere(spreader)
+
+
+@_destinations.register
+def _(fact: Strike, spreader: Spreader, origin: Origin) -> list[Link]:
+    return _everywhere(spreader)
+
+
+def _everywhere(spreader: Spreader) -> list[Link]:
+    links = list(spreader.children.by_link)
+    links += spreader.links_up()
+    links += spreader.peers.by_node.values()
+    return links
+
+
+@_destinations.register
+def _(fact: Held, spreader: Spreader, origin: Origin) -> list[Link]:
+    return spreader.links_up()
+
+
+@_destinations.register
+def _(fact: Evidence, spreader: Spreader, origin: Origin) -> list[Link]:
+    if origin is Origin.PEER:
+        return []
+    if not spreader.is_relay():
+        return spreader.links_up()
+    controller = spreader.controller()
+    return [
+        link
+        for node, link in spreader.peers.by_node.items()
+        if node == controller or link.data_centre == spreader.data_centre
+    ]
+
+
+@_destinations.register
+def _(fact: Summary, spreader: Spreader, origin: Origin) -> list[Link]:
+    if origin is Origin.PEER:
+        return []
+    return list(spreader.peers.by_node.values())
--- /dev/null
+++ b/src/fulmarrudder/fold/__init__.py
@@ -0,0 +1,51 @@
+"""Pure pipeline from records to state and outcomes."""
+
+from fulmarrudder.fold.apply import Folded, apply
+from fulmarrudder.fold.duties import CONTROLLER, is_relay_of, relay_duty
+from fulmarrudder.fold.errors import FoldError, GapError
+from fulmarrudder.fold.outcome import (
+    Applied,
+    Duplicate,
+    Outcome,
+    Reason,
+    Refused,
+)
+from fulmarrudder.fold.state import (
+    EMPTY,
+    Duty,
+    Move,
+    Phase,
+    State,
+    current_of,
+    duty_named,
+    move_of,
+    move_with,
+    service_named,
+)
+from fulmarrudder.fold.versions import faults_of
+
+__all__ = [
+    "CONTROLLER",
+    "EMPTY",
+    "Applied",
+    "Duplicate",
+    "Duty",
+    "Folded",
+    "FoldError",
+    "GapError",
+    "Move",
+    "Outcome",
+    "Phase",
+    "Reason",
+    "Refused",
+    "State",
+    "apply",
+    "current_of",
+    "duty_named",
+    "faults_of",
+    "is_relay_of",
+    "move_of",
+    "move_with",
+    "relay_duty",
+    "service_named",
+]
--- /dev/null
+++ b/src/fulmarrudder/fold/duties.py
@@ -0,0 +1,67 @@
+"""Rules for duties and the terms that fence their holders."""
+
+import dataclasses
+
+from expression import Error, Ok, Result
+
+from fulmarrudder.fold.errors import Refusal
+from fulmarrudder.fold.outcome import Reason
+from fulmarrudder.fold.state import Duty, State, duty_named
+from fulmarrudder.model import ClaimDuty
+
+CONTROLLER = "controller"
+
+
+def relay_duty(data_centre: str, slot: int) -> str:
+    """Names a relay duty of a data centre."""
+    return f"relay/{data_centre}/{slot}"
+
+
+def is_relay_of(duty: Duty, data_centre: str) -> bool:
+    """Tells whether the duty is a relay duty of the data centre."""
+    return duty.name.startswith(f"relay/{data_centre}/")
+
+
+def claim(state: State, body: ClaimDuty) -> Result[State, Refusal]:
+    """Hands a duty over when the claimant knew the latest term.
+
+    Args:
+        state: State before the record.
+        body: The claim.
+
+    Returns:
+        The state with the new holder, or who holds the duty instead.
+    """
+    held = duty_named(state, body.duty)
+    term = held.term if held else 0
+    if body.expected_term != term:
+        holder = held.holder if held else "nobody"
+        return Error(
+            Refusal(
+                reason=Reason.STALE_TERM,
+                detail=f"{holder} holds {body.duty} at term {term}",
+            )
+        )
+    taken = Duty(
+        name=body.duty,
+        term=term + 1,
+        holder=body.holder,
+        data_centre=body.data_centre,
+        mesh_address=body.mesh_address,
+        admin_address=body.admin_address,
+    )
+    others = [duty for duty in state.duties if duty.name != body.duty]
+    duties = tuple(sorted([*others, taken], key=lambda duty: duty.name))
+    return Ok(dataclasses.replace(state, duties=duties))
+
+
+def fenced(state: State, term: int) -> Refusal | None:
+    """Refuses a record of a controller whose term has passed."""
+    duty = duty_named(state, CONTROLLER)
+    latest = duty.term if duty else 0
+    if duty and term == latest:
+        return None
+    return Refusal(
+        reason=Reason.STALE_TERM,
+        detail=f"controller's term is {latest}, not {term}",
+    )
--- /dev/null
+++ b/src/fulmarrudder/fold/moves.py
@@ -0,0 +1,194 @@
+"""Rules for moves."""
+
+import dataclasses
+
+from expression import Error, Ok, Result
+
+from fulmarrudder.fold.duties import fenced
+from fulmarrudder.fold.errors import Refusal
+from fulmarrudder.fold.outcome import Reason
+from fulmarrudder.fold.state import (
+    CLOSED_PHASE,
+    OPEN_PHASES,
+    Current,
+    Move,
+    Phase,
+    State,
+    current_of,
+    move_of,
+    move_with,
+    service_named,
+)
+from fulmarrudder.model import CloseMove, Decision, EndMove, StartMove, StepMove
+
+HISTORY_LIMIT = 200
+WHOLE_PERMILLE = 1000
+DECIDED_PHASE = {
+    Decision.COMPLETE: Phase.COMPLETING,
+    Decision.TAKE_BACK: Phase.TAKING_BACK,
+}
+
+
+def _no(reason: Reason, detail: str) -> Result[State, Refusal]:
+    return Error(Refusal(reason=reason, detail=detail))
+
+
+def start(state: State, body: StartMove, offset: int) -> Result[State, Refusal]:
+    """Opens a move at share nought.
+
+    Args:
+        state: State before the record.
+        body: The operator's record.
+        offset: Offset of the record.
+
+    Returns:
+        The state with the move, or why it may not start.
+    """
+    if body.expected != state.version:
+        return _no(
+            Reason.STALE_VERSION,
+            f"version {state.version} is in force, not {body.expected}",
+        )
+    service = service_named(state.arrangement, body.service)
+    if service is None:
+        return _no(Reason.UNKNOWN_SERVICE, f"no service {body.service}")
+    if body.to_version not in service.target_versions:
+        return _no(
+            Reason.UNKNOWN_TARGET_VERSION,
+            f"{body.service} has no target version {body.to_version};"
+            f" it has {', '.join(service.target_versions)}",
+        )
+    current = current_of(state, body.service)
+    if current == body.to_version:
+        return _no(Reason.ALREADY_CURRENT, f"{body.to_version} is current")
+    running = move_of(state, body.service)
+    if running:
+        return _no(
+            Reason.MOVE_OPEN, f"move {running.id} by {running.operator} is open"
+        )
+    if move_with(state, body.move):
+        return _no(Reason.MOVE_OPEN, f"move id {body.move} is taken")
+    move = Move(
+        id=body.move,
+        service=body.service,
+        from_version=current or service.initial,
+        to_version=body.to_version,
+        operator=body.operator,
+        deadline=body.deadline,
+        opened=offset,
+        changed=offset,
+    )
+    return Ok(_with_move(state, move))
+
+
+def step(state: State, body: StepMove, offset: int) -> Result[State, Refusal]:
+    """Raises the share of a running move.
+
+    Args:
+        state: State before the record.
+        body: The controller's record.
+        offset: Offset of the record.
+
+    Returns:
+        The state with the new share, or why it may not rise.
+    """
+    stale = fenced(state, body.term)
+    if stale:
+        return Error(stale)
+    move = move_with(state, body.move)
+    if move is None:
+        return _no(Reason.UNKNOWN_MOVE, f"no move {body.move}")
+    if move.phase is not Phase.RUNNING:
+        return _no(Reason.MOVE_DECIDED, _decided(move))
+    if move.permille != body.expected_permille:
+        return _no(Reason.STALE_STEP, f"share is {move.permille} permille")
+    if not move.permille < body.permille <= WHOLE_PERMILLE:
+        return _no(Reason.STALE_STEP, f"share cannot go to {body.permille}")
+    raised = dataclasses.replace(move, permille=body.permille, changed=offset)
+    return Ok(_with_move(state, raised))
+
+
+def end(state: State, body: EndMove, offset: int) -> Result[State, Refusal]:
+    """Decides a running move; the first decision in the log wins.
+
+    Args:
+        state: State before the record.
+        body: The operator's or the controller's record.
+        offset: Offset of the record.
+
+    Returns:
+        The state with the decision, or the decision that won.
+    """
+    stale = fenced(state, body.term) if body.term else None
+    if stale:
+        return Error(stale)
+    move = move_with(state, body.move)
+    if move is None:
+        return _no(Reason.UNKNOWN_MOVE, f"no move {body.move}")
+    if move.phase is not Phase.RUNNING:
+        return _no(Reason.MOVE_DECIDED, _decided(move))
+    complete = body.decision is Decision.COMPLETE
+    decided = dataclasses.replace(
+        move,
+        phase=DECIDED_PHASE[body.decision],
+        permille=WHOLE_PERMILLE if complete else 0,
+        decision=body.decision,
+        by=body.by,
+        reason=body.reason,
+        changed=offset,
+    )
+    after = _with_move(state, decided)
+    if not complete:
+        return Ok(after)
+    return Ok(_with_current(after, move.service, move.to_version))
+
+
+def close(state: State, body: CloseMove, offset: int) -> Result[State, Refusal]:
+    """Closes a decided move once its decision holds everywhere known.
+
+    Args:
+        state: State before the record.
+        body: The controller's record.
+        offset: Offset of the record.
+
+    Returns:
+        The state with the verdict in its history, or why it stays open.
+    """
+    stale = fenced(state, body.term)
+    if stale:
+        return Error(stale)
+    move = move_with(state, body.move)
+    if move is None:
+        return _no(Reason.UNKNOWN_MOVE, f"no move {body.move}")
+    if move.phase not in CLOSED_PHASE:
+        return _no(Reason.MOVE_DECIDED, f"move {move.id} is {move.phase.value}")
+    closed = dataclasses.replace(
+        move,
+        phase=CLOSED_PHASE[move.phase],
+        data_centres=body.data_centres,
+        changed=offset,
+    )
+    return Ok(_with_move(state, closed))
+
+
+def _decided(move: Move) -> str:
+    return f"move {move.id} is {move.phase.value}, decided by {move.by}"
+
+
+def _with_current(state: State, service: str, version: str) -> State:
+    currents = tuple(
+        Current(service=service, target_version=version)
+        if current.service == service
+        else current
+        for current in state.currents
+    )
+    return dataclasses.replace(state, currents=currents)
+
+
+def _with_move(state: State, move: Move) -> State:
+    others = [other for other in state.moves if other.id != move.id]
+    if move.phase in OPEN_PHASES:
+        moves = tuple(sorted([*others, move], key=lambda m: m.id))
+        return dataclasses.replace(state, moves=moves)
+    history = (*state.history, move)[-HISTORY_LIMIT:]
+    return dataclasses.replace(state, moves=tuple(others), history=history)
--- /dev/null
+++ b/src/fulmarrudder/fold/versions.py
@@ -0,0 +1,113 @@
+"""Rules for configuration versions."""
+
+import dataclasses
+
+from expression import Error, Ok, Result
+
+from fulmarrudder.fold.errors import Refusal
+from fulmarrudder.fold.outcome import Reason
+from fulmarrudder.fold.state import Current, State, current_of, move_of
+from fulmarrudder.model import Arrangement, Publish
+
+
+def faults_of(arrangement: Arrangement) -> tuple[str, ...]:
+    """Lists every fault of an arrangement taken by itself.
+
+    Args:
+        arrangement: The arrangement.
+
+    Returns:
+        One line a fault, empty when the arrangement is valid.
+    """
+    faults = _repeated("service", [s.name for s in arrangement.services])
+    faults += _repeated("route", [r.name for r in arrangement.routes])
+    known = set()
+    for service in arrangement.services:
+        known.add(service.name)
+        if service.initial not in service.target_versions:
+            faults.append(
+                f"service {service.name}: initial target version"
+                f" {service.initial} is not among its target versions"
+            )
+    for route in arrangement.routes:
+        if route.service not in known:
+            faults.append(f"route {route.name}: no service {route.service}")
+        if not route.prefix.startswith("/"):
+            faults.append(f"route {route.name}: prefix must start with /")
+        for caller in route.callers:
+            if caller not in known:
+                faults.append(f"route {route.name}: no caller service {caller}")
+    return tuple(faults)
+
+
+def _repeated(kind: str, names: list[str]) -> list[str]:
+    seen: set[str] = set()
+    faults = []
+    for name in names:
+        if name in seen:
+            faults.append(f"{kind} {name}: name is used twice")
+        seen.add(name)
+    return faults
+
+
+def _faults_beside(state: State, arrangement: Arrangement) -> list[str]:
+    declared = {s.name: s.target_versions for s in arrangement.services}
+    faults = []
+    for move in state.moves:
+        versions = declared.get(move.service, ())
+        for needed in (move.from_version, move.to_version):
+            if needed not in versions:
+                faults.append(
+                    f"service {move.service}: open move {move.id} needs"
+                    f" target version {needed}"
+                )
+    for service in arrangement.services:
+        current = current_of(state, service.name)
+        if current is None or move_of(state, service.name):
+            continue
+        if current not in service.target_versions:
+            faults.append(
+                f"service {service.name}: current target version {current}"
+                " is not among its target versions"
+            )
+    return faults
+
+
+def publish(state: State, body: Publish) -> Result[State, Refusal]:
+    """Replaces the arrangement in force as a whole, or refuses it.
+
+    Args:
+        state: State before the record.
+        body: The operator's record.
+
+    Returns:
+        The state with the new version, or why the version is refused.
+    """
+    if body.expected != state.version:
+        return Error(
+            Refusal(
+                reason=Reason.STALE_VERSION,
+                detail=f"version {state.version} by {state.operator or 'nobody'}"
+                f" is in force, not {body.expected}",
+            )
+        )
+    faults = list(faults_of(body.arrangement))
+    faults += _faults_beside(state, body.arrangement)
+    if faults:
+        return Error(Refusal(reason=Reason.INVALID, detail="; ".join(faults)))
+    currents = tuple(
+        Current(
+            service=s.name,
+            target_version=current_of(state, s.name) or s.initial,
+        )
+        for s in sorted(body.arrangement.services, key=lambda s: s.name)
+    )
+    return Ok(
+        dataclasses.replace(
+            state,
+            version=state.version + 1,
+            operator=body.operator,
+            arrangement=body.arrangement,
+            currents=currents,
+        )
+    )
--- /dev/null
+++ b/src/fulmarrudder/log/snapshot.py
@@ -0,0 +1,22 @@
+"""Border of snapshots: the folded state as a record of its own stream."""
+
+import pydantic
+from expression import Error, Ok, Result
+
+from fulmarrudder.fold import State
+from fulmarrudder.log.errors import DecodeError
+
+_STATE = pydantic.TypeAdapter(State)
+
+
+def encode_state(state: State) -> str:
+    """Encodes a folded state as JSON text."""
+    return _STATE.dump_json(state).decode()
+
+
+def decode_state(text: str) -> Result[State, DecodeError]:
+    """Decodes and validates a folded state."""
+    try:
+        return Ok(_STATE.validate_json(text))
+    except pydantic.ValidationError as error:
+        return Error(DecodeError(str(error)))
--- /dev/null
+++ b/src/fulmarrudder/log/tail.py
@@ -0,0 +1,108 @@
+"""Tails one stream of the log and pushes its batches on."""
+
+from collections.abc import Callable
+from random import Random
+
+from twisted.internet.defer import CancelledError
+
+from fulmarrudder.clock import Clock
+from fulmarrudder.log.backoff import Backoff
+from fulmarrudder.log.errors import ExpiredError, UnavailableError
+from fulmarrudder.log.service import LAST, Batch, LogService
+
+READ_LIMIT = 500
+WAIT_MS = 2_000
+RETRY_BASE_S = 0.1
+RETRY_LIMIT_S = 2.0
+
+
+class Tail:
+    """Reads a stream from an offset on until stopped.
+
+    Attributes:
+        next_offset: Offset of the next record to read.
+        available: Whether the latest read was answered.
+        answered_at: When a read was last answered, in clock seconds.
+    """
+
+    def __init__(
+        self,
+        log: LogService,
+        stream: str,
+        clock: Clock,
+        rng: Random,
+        *,
+        on_batch: Callable[[Batch], None],
+        on_expired: Callable[[int], None],
+    ):
+        self.log = log
+        self.stream = stream
+        self.clock = clock
+        self.on_batch = on_batch
+        self.on_expired = on_expired
+        self.backoff = Backoff(
+            base_s=RETRY_BASE_S, limit_s=RETRY_LIMIT_S, rng=rng
+        )
+        self.next_offset = 0
+        self.available = False
+        self.answered_at = clock.seconds()
+        self.reading = None
+        self.retry = None
+
+    @property
+    def running(self) -> bool:
+        """Whether the tail reads or waits to read again."""
+        return self.reading is not None or self.retry is not None
+
+    def start(self, next_offset: int) -> None:
+        """Starts reading at an offset; does nothing while it runs."""
+        if self.running:
+            return
+        self.next_offset = next_offset
+        self._read()
+
+    def stop(self) -> None:
+        """Stops reading."""
+        if self.retry is not None and self.retry.active():
+            self.retry.cancel()
+        self.retry = None
+        reading, self.reading = self.reading, None
+        if reading is not None:
+            reading.cancel()
+
+    def _read(self) -> None:
+        self.retry = None
+        reading = self.log.read(
+            self.stream,
+            start=self.next_offset,
+            limit=READ_LIMIT,
+            wait_ms=WAIT_MS,
+        )
+        self.reading = reading
+        reading.addCallbacks(self._took, self._failed)
+        reading.addErrback(lambda failure: failure.trap(CancelledError))
+
+    def _took(self, batch: Batch) -> None:
+        if self.reading is None:
+            return
+        self.reading = None
+        self.available = True
+        self.answered_at = self.clock.seconds()
+        self.backoff.reset()
+        if batch.records:
+            self.next_offset = batch.records[-1].offset + 1
+        elif self.next_offset == LAST:
+            self.next_offset = batch.next_offset
+        self.retry = self.clock.callLater(0, self._read)
+        self.on_batch(batch)
+
+    def _failed(self, failure) -> None:
+        error = failure.trap(UnavailableError, ExpiredError, CancelledError)
+        if self.reading is None or error is CancelledError:
+            return
+        self.reading = None
+        self.available = False
+        delay = self.backoff.next_delay()
+        self.retry = self.clock.callLater(delay, self._read)
+        if error is ExpiredError:
+            self.on_expired(failure.value.first)
--- /dev/null
+++ b/src/fulmarrudder/membership/announce.py
@@ -0,0 +1,102 @@
+"""Announcements of the target beside this node.
+
+The newest of two announcements wins, by incarnation and then by sequence;
+silence past the deadline makes the target absent.
+"""
+
+import dataclasses
+
+import pydantic
+from expression import Error, Ok, Result
+
+from fulmarrudder.clock import Clock
+from fulmarrudder.membership.errors import AnnouncementError
+from fulmarrudder.model import Condition
+
+SILENCE_S = 3.0
+
+
+class AnnouncementModel(pydantic.BaseModel):
+    """An announcement as a target posts it."""
+
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    service: str = pydantic.Field(min_length=1, max_length=128)
+    target_version: str = pydantic.Field(min_length=1, max_length=128)
+    address: str = pydantic.Field(pattern=r"^[0-9.]+:\d{1,5}$")
+    incarnation: int = pydantic.Field(ge=0)
+    sequence: int = pydantic.Field(ge=0)
+    condition: Condition = Condition.READY
+    slots: int = pydantic.Field(ge=1, le=10_000)
+    connections: int = pydantic.Field(ge=1, le=100_000)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Announcement:
+    """What a target says of itself.
+
+    Attributes:
+        address: host:port where the target listens.
+        slots: Requests that it serves at once.
+        connections: Connections that it accepts at once.
+    """
+
+    service: str
+    target_version: str
+    address: str
+    incarnation: int
+    sequence: int
+    condition: Condition
+    slots: int
+    connections: int
+
+
+def read_announcement(data: bytes) -> Result[Announcement, AnnouncementError]:
+    """Validates an announcement's JSON."""
+    try:
+        model = AnnouncementModel.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        return Error(AnnouncementError(str(error)))
+    return Ok(Announcement(**dict(model)))
+
+
+class Beside:
+    """The target beside this node, as last announced.
+
+    Attributes:
+        latest: The newest announcement, or None.
+        deadline: Clock seconds after which silence makes it absent.
+        since: Clock seconds since which this incarnation is ready.
+    """
+
+    def __init__(self, clock: Clock):
+        self.clock = clock
+        self.latest: Announcement | None = None
+        self.deadline = 0.0
+        self.since = 0.0
+
+    def take(self, announcement: Announcement) -> bool:
+        """Takes an announcement in when it is the newest.
+
+        Returns:
+            Whether it was newer than the one known.
+        """
+        known = self.latest
+        if known is not None and _order(announcement) <= _order(known):
+            return False
+        if known is None or known.incarnation != announcement.incarnation:
+            self.since = self.clock.seconds()
+        self.latest = announcement
+        self.deadline = self.clock.seconds() + SILENCE_S
+        return True
+
+    @property
+    def condition(self) -> Condition:
+        """The target's condition, absent after silence."""
+        if self.latest is None or self.clock.seconds() > self.deadline:
+            return Condition.ABSENT
+        return self.latest.condition
+
+
+def _order(announcement: Announcement) -> tuple[int, int]:
+    return (announcement.incarnation, announcement.sequence)
--- /dev/null
+++ b/src/fulmarrudder/model/fact.py
@@ -0,0 +1,206 @@
+"""Facts: soft state that nodes spread among themselves without the log.
+
+Each fact has a key and an order; of two facts with one key the higher order
+wins, so merging is commutative, associative and idempotent.
+"""
+
+import dataclasses
+import enum
+from functools import singledispatch
+
+
+class Condition(enum.Enum):
+    """Condition of the target beside a node."""
+
+    ABSENT = "absent"
+    READY = "ready"
+    LEAVING = "leaving"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Presence:
+    """A node and the target beside it.
+
+    Attributes:
+        node: Node id.
+        incarnation: Start of the node process, in wall-clock milliseconds.
+        sequence: Counts changes within an incarnation.
+        data_centre: Where the node runs.
+        call_address: host:port for calls.
+        mesh_address: host:port for other nodes' links.
+        service: Service of the target, or empty.
+        target_version: Version of the target, or empty.
+        condition: Condition of the target.
+        slots: Requests that the target serves at once.
+    """
+
+    node: str
+    incarnation: int
+    sequence: int
+    data_centre: str
+    call_address: str
+    mesh_address: str
+    service: str = ""
+    target_version: str = ""
+    condition: Condition = Condition.ABSENT
+    slots: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Brake:
+    """Stops a target version of a move, on one route or on all of them."""
+
+    move: str
+    service: str
+    target_version: str
+    route: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Strike:
+    """A target's connection died while it ran a request.
+
+    Attributes:
+        fingerprint: Digest of the request.
+        death: Id of the death.
+        expires: Wall-clock seconds after which the strike is forgotten.
+    """
+
+    fingerprint: str
+    death: str
+    expires: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Held:
+    """What a node holds in force; goes up to the relays only."""
+
+    node: str
+    incarnation: int
+    data_centre: str
+    offset: int
+    version: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Tally:
+    """Cumulative counts of one target version on one route.
+
+    Attributes:
+        requests: Requests that the target was given.
+        failures: Those that failed.
+        slow: Counts by latency bucket, upper bounds doubling from 1 ms.
+    """
+
+    service: str
+    target_version: str
+    route: str
+    requests: int
+    failures: int
+    slow: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Evidence:
+    """Cumulative tallies of a source: a node, or a relay for its subtree."""
+
+    source: str
+    incarnation: int
+    sequence: int
+    tallies: tuple[Tally, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Summary:
+    """What a data centre's relay knows its nodes to hold.
+
+    Attributes:
+        offset: Lowest offset held by a node that is present.
+        lagging: Up to a few nodes below the relay's own offset.
+    """
+
+    relay: str
+    data_centre: str
+    incarnation: int
+    sequence: int
+    nodes: int
+    offset: int
+    version: int
+    relay_offset: int
+    lagging: tuple[Held, ...] = ()
+
+
+Fact = Presence | Brake | Strike | Held | Evidence | Summary
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Key:
+    """Names what a fact is about."""
+
+    kind: str
+    name: str
+
+
+@singledispatch
+def key_of(fact: Fact) -> Key:
+    """Returns what the fact is about."""
+    raise TypeError(f"not a fact: {type(fact).__name__}")
+
+
+@key_of.register
+def _(fact: Presence) -> Key:
+    return Key(kind="presence", name=fact.node)
+
+
+@key_of.register
+def _(fact: Brake) -> Key:
+    return Key(kind="brake", name=f"{fact.move}/{fact.route}")
+
+
+@key_of.register
+def _(fact: Strike) -> Key:
+    return Key(kind="strike", name=f"{fact.fingerprint}/{fact.death}")
+
+
+@key_of.register
+def _(fact: Held) -> Key:
+    return Key(kind="held", name=fact.node)
+
+
+@key_of.register
+def _(fact: Evidence) -> Key:
+    return Key(kind="evidence", name=fact.source)
+
+
+@key_of.register
+def _(fact: Summary) -> Key:
+    return Key(kind="summary", name=fact.relay)
+
+
+@singledispatch
+def order_of(fact: Fact) -> tuple[int, ...]:
+    """Returns the order of the fact among facts with the same key."""
+    return (0,)
+
+
+@order_of.register
+def _(fact: Presence) -> tuple[int, ...]:
+    lost = int(fact.condition is Condition.LOST)
+    return (fact.incarnation, fact.sequence, lost)
+
+
+@order_of.register
+def _(fact: Held) -> tuple[int, ...]:
+    return (fact.incarnation, fact.offset)
+
+
+@order_of.register
+def _(fact: Evidence) -> tuple[int, ...]:
+    return (fact.incarnation, fact.sequence)
+
+
+@order_of.register
+def _(fact: Summary) -> tuple[int, ...]:
+    return (fact.incarnation, fact.sequence)
--- /dev/null
+++ b/src/fulmarrudder/move/__init__.py
@@ -0,0 +1,1 @@
+"""Pipeline from evidence to decisions on moves."""
--- /dev/null
+++ b/src/fulmarrudder/node/admin.py
@@ -0,0 +1,126 @@
+"""The admin port: target, operators, probes and metrics, over HTTP."""
+
+import ipaddress
+
+from twisted.web.resource import Resource
+from twisted.web.server import Site
+
+from fulmarrudder.membership import read_announcement
+from fulmarrudder.node.node import Node
+from fulmarrudder.observe import Sample
+
+BODY_LIMIT = 8 * 1024 * 1024
+
+
+class Probe(Resource):
+    """Answers 200 or 503."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, healthy):
+        super().__init__()
+        self.healthy = healthy
+
+    def render_GET(self, request):  # noqa: N802
+        """Answers a probe."""
+        if self.healthy():
+            return b"ok\n"
+        request.setResponseCode(503)
+        return b"not ready\n"
+
+
+class MetricsPage(Resource):
+    """Answers with metrics."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, node: Node):
+        super().__init__()
+        self.node = node
+
+    def render_GET(self, request):  # noqa: N802
+        """Renders metrics in the Prometheus text format."""
+        request.setHeader(b"content-type", b"text/plain; version=0.0.4")
+        return self.node.metrics.render(gauges_of(self.node))
+
+
+class Announce(Resource):
+    """Takes the target's announcements."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, node: Node):
+        super().__init__()
+        self.node = node
+
+    def render_POST(self, request):  # noqa: N802
+        """Takes one announcement."""
+        if not is_beside(request.getClientAddress().host, self.node):
+            request.setResponseCode(403)
+            return b"only the target beside this node may announce\n"
+        read = read_announcement(request.content.read(BODY_LIMIT))
+        if read.is_error():
+            request.setResponseCode(400)
+            return f"{read.error}\n".encode()
+        self.node.announced(read.ok)
+        return b"ok\n"
+
+
+def is_beside(host: str, node: Node) -> bool:
+    """Tells whether an address is on this node's instance."""
+    own = node.settings.admin_address.rpartition(":")[0]
+    return host == own or ipaddress.ip_address(host).is_loopback
+
+
+def gauges_of(node: Node) -> tuple[Sample, ...]:
+    """Returns the present values of a node's gauges."""
+    state = node.holder.state
+    values = {
+        "fulmarrudder_config_version": state.version,
+        "fulmarrudder_config_offset": state.offset,
+        "fulmarrudder_log_available": int(node.feed.available),
+        "fulmarrudder_duties_held": len(node.duties()),
+        "fulmarrudder_children": len(node.mesh.children.by_link),
+        "fulmarrudder_attached": int(
+            node.mesh.uplink.attached or node.mesh.is_relay()
+        ),
+        "fulmarrudder_brakes": len(node.facts.brakes),
+        "fulmarrudder_endpoints": sum(
+            len(nodes) for nodes in node.facts.services.values()
+        ),
+    }
+    samples = [
+        Sample(name=name, labels=(), value=value)
+        for name, value in values.items()
+    ]
+    for role, value in (
+        ("entry", node.calls.active),
+        ("host", node.host.in_flight),
+    ):
+        samples.append(
+            Sample(
+                name="fulmarrudder_in_flight",
+                labels=(("role", role),),
+                value=value,
+            )
+        )
+    return tuple(samples)
+
+
+def admin_site(node: Node, **pages: Resource) -> Site:
+    """Builds the admin port's site.
+
+    Args:
+        node: The node.
+        **pages: Further pages by their path.
+    """
+    root = Resource()
+    root.putChild(b"healthz", Probe(lambda: True))
+    root.putChild(b"readyz", Probe(lambda: node.serving))
+    root.putChild(b"metrics", MetricsPage(node))
+    root.putChild(b"announce", Announce(node))
+    for path, page in pages.items():
+        root.putChild(path.encode(), page)
+    site = Site(root)
+    site.noisy = False
+    return site
--- /dev/null
+++ b/src/fulmarrudder/node/feed.py
@@ -0,0 +1,125 @@
+"""Feeds the holder from the log: newest snapshot, then the tail."""
+
+import random
+
+from twisted.internet.defer import ensureDeferred
+
+from fulmarrudder.clock import Clock
+from fulmarrudder.distribution import Holder
+from fulmarrudder.fold import GapError
+from fulmarrudder.log import (
+    CONFIG,
+    LAST,
+    SNAPSHOTS,
+    Batch,
+    ExpiredError,
+    LogService,
+    Tail,
+    UnavailableError,
+    decode_state,
+)
+from fulmarrudder.observe import logs
+
+RETRY_S = 0.5
+
+
+class Feed:
+    """Reads the configuration stream while this node needs it.
+
+    Attributes:
+        tail: Reads the stream.
+        wanted: Whether this node reads the log now.
+    """
+
+    def __init__(
+        self,
+        log: LogService,
+        clock: Clock,
+        rng: random.Random,
+        holder: Holder,
+    ):
+        self.log = log
+        self.clock = clock
+        self.holder = holder
+        self.wanted = False
+        self.starting = False
+        self.tail = Tail(
+            log,
+            CONFIG,
+            clock,
+            rng,
+            on_batch=self._took,
+            on_expired=self._expired,
+        )
+
+    @property
+    def available(self) -> bool:
+        """Whether the log answers this node."""
+        return self.tail.available
+
+    def start(self) -> None:
+        """Reads from now on."""
+        if self.wanted:
+            return
+        self.wanted = True
+        if self.holder.state.offset >= 0:
+            self.tail.start(self.holder.state.offset + 1)
+            return
+        self._start_anew()
+
+    def stop(self) -> None:
+        """Reads no longer."""
+        self.wanted = False
+        self.tail.stop()
+
+    def _start_anew(self) -> None:
+        if self.starting or not self.wanted:
+            return
+        self.starting = True
+        ensureDeferred(self._from_snapshot())
+
+    async def _from_snapshot(self) -> None:
+        try:
+            batch = await self.log.read(
+                SNAPSHOTS, start=LAST, limit=1, wait_ms=0
+            )
+            self._take_snapshot(batch)
+        except ExpiredError:
+            pass
+        except UnavailableError:
+            self.starting = False
+            self.clock.callLater(RETRY_S, self._start_anew)
+            return
+        self.starting = False
+        if self.wanted:
+            self.tail.start(self.holder.state.offset + 1)
+
+    def _take_snapshot(self, batch: Batch) -> None:
+        for raw in batch.records:
+            decoded = decode_state(raw.body)
+            if decoded.is_error():
+                logs.error("snapshot-unreadable", offset=raw.offset)
+                continue
+            if self.holder.take_whole(decoded.ok):
+                logs.info("snapshot-taken", offset=decoded.ok.offset)
+
+    def _took(self, batch: Batch) -> None:
+        try:
+            self.holder.take_records(batch.records)
+        except GapError as error:
+            logs.warning("log-gap", detail=error)
+            self.tail.next_offset = self.holder.state.offset + 1
+            return
+        held = self.holder.state.offset
+        self.tail.next_offset = max(self.tail.next_offset, held + 1)
+        if held + 1 >= batch.next_offset:
+            self.holder.caught_up()
+
+    def _expired(self, first: int) -> None:
+        logs.warning("log-expired", first=first)
+        held = self.holder.state.offset
+        if held + 1 >= first:
+            self.tail.next_offset = held + 1
+            return
+        self.tail.stop()
+        self.clock.callLater(RETRY_S, self._start_anew)
--- /dev/null
+++ b/src/fulmarrudder/observe/__init__.py
@@ -0,0 +1,7 @@
+"""Logs, metrics and spans."""
+
+from fulmarrudder.observe import logs
+from fulmarrudder.observe.metrics import Metrics, Sample
+from fulmarrudder.observe.spans import Spans
+
+__all__ = ["Metrics", "Sample", "Spans", "logs"]
--- /dev/null
+++ b/src/fulmarrudder/operate/__init__.py
@@ -0,0 +1,1 @@
+"""Pipeline from operators' commands to records and tables."""
--- /dev/null
+++ b/src/fulmarrudder/pipe.py
@@ -0,0 +1,68 @@
+"""Pipes that join filters.
+
+Two kinds of pipe serve the whole code base:
+
+* `Pipeline` pushes one message through filters that each yield any number of
+  messages, and hands what leaves at the right to a sink.
+* `flow` carries one message through filters that each return a `Result`, and
+  stops at the first error.
+"""
+
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+from expression import Ok, Result
+
+Filter = Callable[[Any], Iterable[Any]]
+Step = Callable[[Any], Result[Any, Any]]
+
+
+class Pipeline:
+    """A chain of filters, pushed from the left, drained at the right.
+
+    Attributes:
+        filters: Callables from one message to any number of messages.
+        sink: Takes every message that leaves the last filter.
+    """
+
+    __slots__ = ("filters", "sink")
+
+    def __init__(
+        self, *filters: Filter, sink: Callable[[Any], None] | None = None
+    ):
+        self.filters = filters
+        self.sink = sink or (lambda message: None)
+
+    def put(self, message: Any) -> None:
+        """Pushes one message through every filter into the sink.
+
+        Args:
+            message: The message for the first filter.
+        """
+        for leaving in self._leave(message, 0):
+            self.sink(leaving)
+
+    def _leave(self, message: Any, index: int) -> Iterable[Any]:
+        if index == len(self.filters):
+            yield message
+            return
+        for between in self.filters[index](message):
+            yield from self._leave(between, index + 1)
+
+
+def flow(message: Any, steps: Sequence[Step]) -> Result[Any, Any]:
+    """Carries a message through steps until one returns an error.
+
+    Args:
+        message: The message for the first step.
+        steps: Callables from a message to a `Result`.
+
+    Returns:
+        The last step's `Ok`, or the first `Error`.
+    """
+    result: Result[Any, Any] = Ok(message)
+    for step in steps:
+        result = step(result.ok)
+        if result.is_error():
+            return result
+    return result
--- /dev/null
+++ b/tests/call/test_route.py
@@ -0,0 +1,55 @@
+"""Requests take the longest matching route of their host."""
+
+import pytest
+
+from fulmarrudder.call.message import Headers, RequestHead
+from fulmarrudder.call.route import RouteTable, reachable
+from fulmarrudder.model import Arrangement, Route
+
+
+def route(name, host, prefix, callers=()):
+    return Route(
+        name=name, host=host, prefix=prefix, service=name, callers=callers
+    )
+
+
+ARRANGEMENT = Arrangement(
+    routes=(
+        route("root", "a.example", "/"),
+        route("photos", "a.example", "/photos"),
+        route("any", "", "/health"),
+        route("inner", "a.example", "/inner", callers=("root",)),
+    )
+)
+
+
+def match(table, host, target):
+    head = RequestHead(
+        method=b"GET", target=target, headers=Headers(((b"host", host),))
+    )
+    return table.match(head).map(lambda r: r.route.name).default_value(None)
+
+
+@pytest.mark.parametrize(
+    ("host", "target", "name"),
+    [
+        (b"a.example", b"/photos/1?x", "photos"),
+        (b"A.Example:80", b"/photos", "photos"),
+        (b"a.example", b"/photosets", "root"),
+        (b"b.example", b"/health/x", "any"),
+        (b"b.example", b"/", None),
+    ],
+)
+def test_match(host, target, name):
+    assert match(RouteTable(ARRANGEMENT), host, target) == name
+
+
+def test_route_with_callers_is_carried_by_their_nodes_only():
+    assert match(RouteTable(ARRANGEMENT), b"a.example", b"/inner/") == "root"
+    beside_root = RouteTable(ARRANGEMENT, "root")
+    assert match(beside_root, b"a.example", b"/inner/") == "inner"
+
+
+def test_reachable_leaves_out_what_no_route_reaches():
+    assert "inner" not in reachable(ARRANGEMENT, "photos")
+    assert "inner" in reachable(ARRANGEMENT, "root")
--- /dev/null
+++ b/tests/call/test_screen.py
@@ -0,0 +1,71 @@
+"""Heads are screened, and one hop's fields stay on that hop."""
+
+import pytest
+
+from fulmarrudder.call.message import Headers, RequestHead, ResponseHead
+from fulmarrudder.call.screen import clean_response, screen, strip_own
+
+
+def head(*fields, target=b"/x", modern=True):
+    fields = fields or ((b"host", b"a"),)
+    return RequestHead(
+        method=b"GET",
+        target=target,
+        headers=Headers(tuple(fields)),
+        modern=modern,
+    )
+
+
+HOST = (b"host", b"a")
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        head((b"accept", b"*/*")),
+        head(HOST, HOST),
+        head(target=b"http://a/x"),
+        head(target=b"/a/../deposits"),
+        head(target=b"/a/%2e%2E/deposits"),
+        head(target=b"/a/."),
+        head(target=b"/a b"),
+        head(HOST, (b"connection", b"Idempotency-Key")),
+        head(HOST, (b"expect", b"miracles")),
+    ],
+)
+def test_bad_head_is_refused_as_not_run(bad):
+    refusal = screen(bad).error
+    assert refusal.ran.value == "no"
+    assert 400 <= refusal.status < 500
+
+
+def test_hop_by_hop_fields_are_removed():
+    kept = screen(
+        head(
+            HOST,
+            (b"connection", b"x-a, close"),
+            (b"x-a", b"1"),
+            (b"te", b"trailers"),
+            (b"x-b", b"2"),
+        )
+    ).ok
+    assert kept.headers.fields == (HOST, (b"x-b", b"2"))
+
+
+def test_dots_inside_a_segment_are_no_dot_segment():
+    assert screen(head(target=b"/a..b/c.d?x=../y")).is_ok()
+
+
+def test_caller_cannot_set_fields_of_nodes():
+    cleaned = strip_own(head(HOST, (b"fulmarrudder-route", b"x")))
+    assert cleaned.headers.fields == (HOST,)
+
+
+def test_target_cannot_claim_that_a_request_did_not_run():
+    response = ResponseHead(
+        status=503,
+        reason=b"",
+        headers=Headers(((b"fulmarrudder-ran", b"no"), (b"x", b"1"))),
+    )
+    cleaned = clean_response(response, from_target=True)
+    assert cleaned.headers.fields == ((b"x", b"1"),)
