Moves, operators' commands, and the demo of both firms

Cause: after the thin path, nothing yet advanced a move or took a command.

Change: `move` (ledger, judge, schedule, monitor, controller, confirm), `operate` (lark grammar, typed commands and answers, tables), the client, the load tool and `make demo`.

Found on the way: a span's field "name" clashed with the logging module's own and ended the daemon's loop; fields now travel inside the message, where no name is reserved.

--- a/lab/fulmarrudder_lab/target.py
+++ b/lab/fulmarrudder_lab/target.py
@@ -23,7 +23,7 @@
 from twisted.web.client import Agent, readBody
 from twisted.web.http import HTTPChannel, HTTPFactory, Request
 
-from fulmarrudder.log.http import _Body
+from fulmarrudder.http import BytesBody
 
 ANNOUNCE_EVERY_S = 1.0
 
@@ -168,7 +168,7 @@
         """Sends one announcement."""
         self.document["sequence"] += 1
         data = json.dumps(self.document).encode()
-        asked = self.agent.request(b"POST", self.url, None, _Body(data))
+        asked = self.agent.request(b"POST", self.url, None, BytesBody(data))
         asked.addCallbacks(readBody, lambda failure: None)
 
     def leave(self) -> None:
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -40,6 +40,8 @@
 from fulmarrudder.model import Condition, SettleKey, Strike
 
 COLD_S = 5.0
+COLD_REQUESTS = 10
+COLD_LIMIT_S = 60.0
 KEPT_ANSWER_BYTES = 4_096
 FAILED_FROM = 500
 
@@ -119,6 +121,8 @@
         self.claims: dict[str, Claims] = {}
         self.leaving = False
         self.in_flight = 0
+        self.warming = -1
+        self.served = 0
 
     def announced(self) -> None:
         """Takes over the slots that the target announced."""
@@ -250,7 +254,7 @@
 
     def _tally(self, request: HostRequest, started: float, *, failed) -> None:
         now = self.clock.seconds()
-        cold = now - self.beside.since < COLD_S
+        cold = self._cold(now - self.beside.since)
         self.tallies.note(
             request.service,
             request.target_version,
@@ -259,6 +263,16 @@
             took_s=None if cold else now - started,
         )
 
+    def _cold(self, age_s: float) -> bool:
+        incarnation = self.beside.latest.incarnation
+        if incarnation != self.warming:
+            self.warming = incarnation
+            self.served = 0
+        self.served += 1
+        if age_s > COLD_LIMIT_S:
+            return False
+        return age_s < COLD_S or self.served <= COLD_REQUESTS
+
     def _strike(self, request: HostRequest, incarnation: int) -> None:
         address = self.beside.latest.address
         self.spread(
--- a/src/fulmarrudder/log/http.py
+++ b/src/fulmarrudder/log/http.py
@@ -5,9 +5,8 @@
 import pydantic
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.web.client import Agent, HTTPConnectionPool, readBody
-from twisted.web.iweb import IBodyProducer
-from zope.interface import implementer
 
+from fulmarrudder.http import BytesBody
 from fulmarrudder.log.errors import ExpiredError, UnavailableError
 from fulmarrudder.log.service import Batch, RawRecord
 
@@ -35,28 +34,6 @@
     first: int
 
 
-@implementer(IBodyProducer)
-class _Body:
-    def __init__(self, data: bytes):
-        self.data = data
-        self.length = len(data)
-
-    def startProducing(self, consumer):  # noqa: N802, D102
-        consumer.write(self.data)
-        done: Deferred = Deferred()
-        done.callback(None)
-        return done
-
-    def pauseProducing(self):  # noqa: N802, D102
-        pass
-
-    def resumeProducing(self):  # noqa: N802, D102
-        pass
-
-    def stopProducing(self):  # noqa: N802, D102
-        pass
-
-
 class HttpLogService:
     """Speaks to the log service over HTTP and JSON.
 
@@ -85,7 +62,9 @@
     async def _append(self, stream: str, bodies: tuple[str, ...]) -> int:
         data = json.dumps({"records": list(bodies)}).encode()
         url = f"{self.base_url}/streams/{stream}"
-        answer = await self._ask(b"POST", url, _Body(data), ANSWER_TIMEOUT_S)
+        answer = await self._ask(
+            b"POST", url, BytesBody(data), ANSWER_TIMEOUT_S
+        )
         return _checked(_AppendedModel, answer).first
 
     async def _read(
--- /dev/null
+++ b/src/fulmarrudder/move/errors.py
@@ -0,0 +1,5 @@
+"""Errors of moves."""
+
+
+class MoveError(Exception):
+    """Base of moves' errors."""
--- /dev/null
+++ b/src/fulmarrudder/move/ledger.py
@@ -0,0 +1,159 @@
+"""Filter: cumulative evidence of many nodes to counts over an interval."""
+
+import collections
+import dataclasses
+
+from fulmarrudder.model import Evidence, Tally
+
+RECENT_S = 10.0
+MARK_EVERY_S = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Counts:
+    """What became of the requests of one target version on one route.
+
+    Attributes:
+        slow: Counts by latency bucket; see `Tally`.
+    """
+
+    requests: int = 0
+    failures: int = 0
+    slow: tuple[int, ...] = ()
+
+    def plus(self, other: "Counts") -> "Counts":
+        """Returns the counts of both."""
+        return Counts(
+            requests=self.requests + other.requests,
+            failures=self.failures + other.failures,
+            slow=_each(self.slow, other.slow, 1),
+        )
+
+    def minus(self, other: "Counts") -> "Counts":
+        """Returns what has been counted since the other counts."""
+        return Counts(
+            requests=max(0, self.requests - other.requests),
+            failures=max(0, self.failures - other.failures),
+            slow=_each(self.slow, other.slow, -1),
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RouteEvidence:
+    """The two versions on one route over the same interval."""
+
+    route: str
+    old: Counts
+    new: Counts
+
+
+NOTHING = Counts()
+Totals = dict[tuple[str, str], Counts]
+
+
+class Ledger:
+    """Evidence on one move, as far as it is known here.
+
+    Attributes:
+        totals: Counts since the ledger was opened, by target version and
+            route.
+        marks: Earlier totals, oldest first, with their clock seconds.
+        step: Totals when the present share began.
+    """
+
+    def __init__(self, service: str, old: str, new: str, now: float):
+        self.service = service
+        self.old = old
+        self.new = new
+        self.sources: dict[tuple[str, int], dict] = {}
+        self.totals: Totals = {}
+        self.marks: collections.deque = collections.deque([(now, {})])
+        self.step: Totals = {}
+
+    def take(self, evidence: Evidence, *, opening: bool) -> None:
+        """Adds what a source has counted since it was last heard.
+
+        Args:
+            evidence: Cumulative tallies of the source.
+            opening: Whether the source may have counted before the move; if
+                so its first tallies are where counting starts.
+        """
+        key = (evidence.source, evidence.incarnation)
+        known = self.sources.get(key)
+        first = known is None
+        if first:
+            known = self.sources[key] = {}
+        for tally in evidence.tallies:
+            if tally.service != self.service:
+                continue
+            place = (tally.target_version, tally.route)
+            counts = _counts_of(tally)
+            before = known.get(place, NOTHING)
+            known[place] = counts
+            if first and opening:
+                continue
+            total = self.totals.get(place, NOTHING)
+            self.totals[place] = total.plus(counts.minus(before))
+
+    def mark(self, now: float) -> None:
+        """Remembers the totals, for counts over the latest seconds."""
+        if now - self.marks[-1][0] < MARK_EVERY_S:
+            return
+        self.marks.append((now, dict(self.totals)))
+        while len(self.marks) > 1 and self.marks[1][0] <= now - RECENT_S:
+            self.marks.popleft()
+
+    def begin_step(self) -> None:
+        """Starts counting anew for the present share."""
+        self.step = dict(self.totals)
+
+    def since_step(self) -> tuple[RouteEvidence, ...]:
+        """Returns the evidence of the present share, by route."""
+        return self._between(self.step)
+
+    def recent(self) -> tuple[RouteEvidence, ...]:
+        """Returns the evidence of the latest seconds, by route."""
+        return self._between(self.marks[0][1])
+
+    def _between(self, start: Totals) -> tuple[RouteEvidence, ...]:
+        found = []
+        for route in sorted({route for _, route in self.totals}):
+            found.append(
+                RouteEvidence(
+                    route=route,
+                    old=self._since(start, self.old, route),
+                    new=self._since(start, self.new, route),
+                )
+            )
+        return tuple(found)
+
+    def _since(self, start: Totals, version: str, route: str) -> Counts:
+        place = (version, route)
+        total = self.totals.get(place, NOTHING)
+        return total.minus(start.get(place, NOTHING))
+
+
+def whole_of(evidence: tuple[RouteEvidence, ...]) -> RouteEvidence:
+    """Returns the evidence of all routes together; its route is empty."""
+    old = new = NOTHING
+    for part in evidence:
+        old = old.plus(part.old)
+        new = new.plus(part.new)
+    return RouteEvidence(route="", old=old, new=new)
+
+
+def _counts_of(tally: Tally) -> Counts:
+    return Counts(
+        requests=tally.requests, failures=tally.failures, slow=tally.slow
+    )
+
+
+def _each(
+    first: tuple[int, ...], second: tuple[int, ...], sign: int
+) -> tuple[int, ...]:
+    size = max(len(first), len(second))
+    first += (0,) * (size - len(first))
+    second += (0,) * (size - len(second))
+    return tuple(
+        max(0, a + sign * b) for a, b in zip(first, second, strict=True)
+    )
--- /dev/null
+++ b/src/fulmarrudder/move/schedule.py
@@ -0,0 +1,122 @@
+"""Filter: a finding to the next action on a move; pure.
+
+The deadline decides how long each share is held, never what is concluded
+from the evidence.
+"""
+
+import dataclasses
+
+from fulmarrudder.fold import Move
+from fulmarrudder.move.judge import Bad, Finding
+
+SHARES_PERMILLE = (10, 20, 50, 100, 250, 500, 1000)
+WHOLE_PERMILLE = 1000
+LEAST_HOLD_S = 2.0
+MOST_HOLD_S = 120.0
+HOLD_SHARE_OF_TIME = 0.5
+REQUESTS_WANTED = 40
+REQUESTS_LEAST = 10
+FEW_ALLOWED_PERMILLE = 50
+PATIENCE = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Wait:
+    """Nothing to do yet.
+
+    Attributes:
+        missing: What is still needed, for operators.
+    """
+
+    missing: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Raise:
+    """Raise the share."""
+
+    permille: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Finish:
+    """Complete the move."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class GiveUp:
+    """Take the move back."""
+
+    route: str
+    reason: str
+
+
+Action = Wait | Raise | Finish | GiveUp
+
+
+def next_action(
+    move: Move, finding: Finding, *, held_s: float, wall: float
+) -> Action:
+    """Decides on a running move.
+
+    Args:
+        move: The move.
+        finding: What the evidence shows.
+        held_s: Seconds for which the present share has been held.
+        wall: Wall-clock seconds.
+
+    Returns:
+        What to do next.
+    """
+    if isinstance(finding, Bad):
+        return GiveUp(route=finding.route, reason=finding.reason)
+    left_s = move.deadline - wall
+    if move.permille == 0:
+        return _first(left_s)
+    if left_s <= 0:
+        return GiveUp(
+            route="",
+            reason=f"deadline passed at {move.permille} permille",
+        )
+    hold_s = hold_for(move.permille, left_s + held_s)
+    if held_s < hold_s:
+        return Wait(missing=f"{hold_s - held_s:.0f} s at this share")
+    wanted = _requests_wanted(move.permille, held_s, hold_s)
+    if finding.requests < wanted:
+        return Wait(
+            missing=f"{wanted - finding.requests} requests on the new version"
+        )
+    following = _following(move.permille)
+    if following == WHOLE_PERMILLE:
+        return Finish()
+    return Raise(permille=following)
+
+
+def hold_for(permille: int, left_s: float) -> float:
+    """Returns how long a share is held.
+
+    Args:
+        permille: The share.
+        left_s: Seconds from the beginning of the share to the deadline.
+    """
+    steps_left = sum(1 for share in SHARES_PERMILLE if share > permille)
+    even = left_s * HOLD_SHARE_OF_TIME / max(1, steps_left)
+    return min(MOST_HOLD_S, max(LEAST_HOLD_S, even))
+
+
+def _first(left_s: float) -> Action:
+    if left_s <= 0:
+        return GiveUp(route="", reason="deadline passed before the first step")
+    return Raise(permille=SHARES_PERMILLE[0])
+
+
+def _requests_wanted(permille: int, held_s: float, hold_s: float) -> int:
+    few = permille <= FEW_ALLOWED_PERMILLE and held_s > PATIENCE * hold_s
+    return REQUESTS_LEAST if few else REQUESTS_WANTED
+
+
+def _following(permille: int) -> int:
+    for share in SHARES_PERMILLE:
+        if share > permille:
+            return share
+    return WHOLE_PERMILLE
--- a/src/fulmarrudder/node/daemon.py
+++ b/src/fulmarrudder/node/daemon.py
@@ -16,8 +16,10 @@
 from fulmarrudder.node.node import Node, new_incarnation
 from fulmarrudder.node.settings import Settings, load_settings
 from fulmarrudder.observe import logs
+from fulmarrudder.operate.page import command_pages
 
 TICK_S = 0.25
+REPORT_S = 1.0
 SWEEP_S = 2.0
 DRAIN_SPANS_S = 0.5
 LEAVE_S = 1.0
@@ -53,10 +55,12 @@
         """Listens and starts the node's loops."""
         settings, node = self.settings, self.node
         self._listen(settings.mesh_address, node.mesh.listener())
-        self._listen(settings.admin_address, admin_site(node))
+        pages = command_pages(node, self.reactor, node.fleet)
+        self._listen(settings.admin_address, admin_site(node, v1=pages))
         self.call_port = self._listen(settings.call_address, node.calls)
         for call, period in (
             (node.tick, TICK_S),
+            (node.report, REPORT_S),
             (node.sweep, SWEEP_S),
             (node.spans.drain, DRAIN_SPANS_S),
         ):
--- a/src/fulmarrudder/node/node.py
+++ b/src/fulmarrudder/node/node.py
@@ -28,7 +28,14 @@
     duties_of,
     next_duty,
 )
-from fulmarrudder.fold import CONTROLLER, Outcome, Refused
+from fulmarrudder.fold import (
+    CONTROLLER,
+    Outcome,
+    Refused,
+    State,
+    duty_named,
+    move_of,
+)
 from fulmarrudder.log import (
     Envelope,
     LogService,
@@ -39,13 +46,18 @@
 from fulmarrudder.model import (
     ClaimDuty,
     Condition,
+    Evidence,
     Fact,
     Held,
     Presence,
+    Summary,
 )
+from fulmarrudder.move import Controller, Monitor
 from fulmarrudder.node.feed import Feed
 from fulmarrudder.node.settings import Settings
+from fulmarrudder.node.snapshots import Snapshots
 from fulmarrudder.observe import Metrics, Spans, logs
+from fulmarrudder.operate.fleet import Fleet
 
 ORPHAN_LEAST_S = 0.5
 ORPHAN_MOST_S = 2.0
@@ -143,6 +155,13 @@
             spans=self.spans,
             metrics=self.metrics,
         )
+        self.fleet = Fleet(self, reactor, reactor)
+        self.monitor = Monitor(reactor, self.facts, self.mesh.spreader.tell)
+        self.controller = Controller(
+            reactor, self.monitor, self._append, self.fleet.confirmed
+        )
+        self.snapshots = Snapshots(log, reactor)
+        self.evidence_count = 0
         self.claiming: frozenset[str] = frozenset()
         self.orphan_after = rng.uniform(ORPHAN_LEAST_S, ORPHAN_MOST_S)
         self.shown: Presence | None = None
@@ -177,6 +196,48 @@
         self.keeper.tick()
         self.watch.note_unavailable()
 
+    def report(self) -> None:
+        """Reports and judges; called every second."""
+        state = self.holder.state
+        self._report_evidence(state)
+        if not self.mesh.is_relay():
+            return
+        self.mesh.spreader.tell(self.fleet.summary())
+        self.monitor.tick()
+        if self.controls():
+            term = duty_named(state, CONTROLLER).term
+            self.controller.tick(state, term)
+            self.snapshots.tick(state)
+        self._catch_up_from_peers(state)
+
+    def _report_evidence(self, state: State) -> None:
+        latest = self.beside.latest
+        if latest is None or move_of(state, latest.service) is None:
+            return
+        self.evidence_count += 1
+        self.mesh.spreader.tell(
+            Evidence(
+                source=self.settings.node,
+                incarnation=self.incarnation,
+                sequence=self.evidence_count,
+                tallies=self.host.tallies.of_service(latest.service),
+            )
+        )
+
+    def _catch_up_from_peers(self, state: State) -> None:
+        if self.feed.available:
+            return
+        for summary in self.fleet.fresh():
+            if summary.relay_offset > state.offset:
+                self.mesh.ask_peer(summary.relay)
+                return
+
+    def _append(self, body):
+        appending = self.submit(body, limit_s=CLAIM_LIMIT_S)
+        return appending.addErrback(
+            lambda failure: failure.trap(UndecidedError)
+        )
+
     def sweep(self) -> None:
         """Forgets what has had its time; called every few seconds."""
         self.mesh.spreader.expire()
@@ -266,6 +327,7 @@
     def _advanced(self, before: int) -> None:
         self._put_in_force()
         self.mesh.advanced(before)
+        self.monitor.follow(self.holder.state)
         if not self.holder.current:
             return
         state = self.holder.state
@@ -296,6 +358,10 @@
         self.entry.in_force = InForce(state=state, table=table)
 
     def _news(self, fact: Fact) -> None:
+        if isinstance(fact, Summary):
+            self.fleet.note(fact)
+        if isinstance(fact, Evidence):
+            self.monitor.take(fact)
         if not isinstance(fact, Presence) or fact.node != self.settings.node:
             return
         if fact is self.shown or fact.incarnation < self.incarnation:
--- a/src/fulmarrudder/observe/logs.py
+++ b/src/fulmarrudder/observe/logs.py
@@ -46,14 +46,14 @@
 
 def info(event: str, **fields) -> None:
     """Writes an event that is part of ordinary work."""
-    LOGGER.info(event, extra=fields)
+    LOGGER.info({"message": event, **fields})
 
 
 def warning(event: str, **fields) -> None:
     """Writes an event that an operator may want to look into."""
-    LOGGER.warning(event, extra=fields)
+    LOGGER.warning({"message": event, **fields})
 
 
 def error(event: str, **fields) -> None:
     """Writes an event that needs an operator."""
-    LOGGER.error(event, extra=fields)
+    LOGGER.error({"message": event, **fields})
--- /dev/null
+++ b/src/fulmarrudder/operate/document.py
@@ -0,0 +1,95 @@
+"""Border of configuration documents: JSON to an arrangement."""
+
+from typing import Annotated
+
+import pydantic
+from expression import Error, Ok, Result
+
+from fulmarrudder.fold import faults_of
+from fulmarrudder.model import Arrangement, Route, Service
+from fulmarrudder.operate.errors import DocumentError
+
+Name = Annotated[
+    str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$", max_length=128)
+]
+TIMEOUT_LIMIT_MS = 24 * 3600 * 1000
+
+
+class _Strict(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid")
+
+
+class ServiceModel(_Strict):
+    """A service in a document."""
+
+    name: Name
+    target_versions: list[Name] = pydantic.Field(min_length=1)
+    initial: Name
+
+
+class RouteModel(_Strict):
+    """A route in a document."""
+
+    name: Name
+    host: str = pydantic.Field("", max_length=255)
+    prefix: str = pydantic.Field(max_length=1024)
+    service: Name
+    idempotent: bool = False
+    timeout_ms: int = pydantic.Field(10_000, ge=1, le=TIMEOUT_LIMIT_MS)
+    callers: list[Name] = []
+
+
+class ArrangementModel(_Strict):
+    """A document to publish."""
+
+    services: list[ServiceModel]
+    routes: list[RouteModel]
+
+
+def read_document(document) -> Result[Arrangement, DocumentError]:
+    """Validates a document.
+
+    Args:
+        document: What the JSON text holds.
+
+    Returns:
+        The arrangement, or every fault of the document.
+    """
+    try:
+        model = ArrangementModel.model_validate(document)
+    except pydantic.ValidationError as error:
+        return Error(DocumentError(_faults(error)))
+    arrangement = Arrangement(
+        services=tuple(
+            Service(
+                name=s.name,
+                target_versions=tuple(s.target_versions),
+                initial=s.initial,
+            )
+            for s in model.services
+        ),
+        routes=tuple(
+            Route(
+                name=r.name,
+                host=r.host.lower(),
+                prefix=r.prefix,
+                service=r.service,
+                idempotent=r.idempotent,
+                timeout_ms=r.timeout_ms,
+                callers=tuple(r.callers),
+            )
+            for r in model.routes
+        ),
+    )
+    faults = faults_of(arrangement)
+    if faults:
+        return Error(DocumentError(faults))
+    return Ok(arrangement)
+
+
+def _faults(error: pydantic.ValidationError) -> tuple[str, ...]:
+    lines = []
+    for fault in error.errors(include_input=False, include_url=False):
+        path = ".".join(str(part) for part in fault["loc"]) or "(top)"
+        lines.append(f"{path}: {fault['msg']}")
+    return tuple(lines)
--- /dev/null
+++ b/src/fulmarrudder/operate/execute.py
@@ -0,0 +1,256 @@
+"""Pipeline of one command: typed command to typed answer."""
+
+from functools import singledispatchmethod
+
+from twisted.internet.defer import gatherResults
+
+from fulmarrudder.fold import Applied, Reason, Refused, move_with
+from fulmarrudder.log import UndecidedError
+from fulmarrudder.model import (
+    Arrangement,
+    Body,
+    Decision,
+    EndMove,
+    Publish,
+    StartMove,
+)
+from fulmarrudder.observe import logs
+from fulmarrudder.operate.answer import (
+    Answer,
+    DataCentreStatus,
+    Denied,
+    Done,
+    InForceArrangement,
+    MoveList,
+    MoveStatus,
+    NodeList,
+    Status,
+    Undecided,
+)
+from fulmarrudder.operate.command import (
+    BeginMove,
+    Command,
+    CompleteMove,
+    PublishVersion,
+    ShowArrangement,
+    ShowHistory,
+    ShowMove,
+    ShowMoves,
+    ShowNodes,
+    ShowStatus,
+    TakeMoveBack,
+)
+from fulmarrudder.operate.verdict import verdict_of
+
+APPEND_LIMIT_S = 10.0
+ADVICE = {
+    Reason.STALE_VERSION: "run 'show status', look at what is in force, and"
+    " repeat the command expecting that version",
+    Reason.INVALID: "mend the document and publish it again",
+    Reason.MOVE_OPEN: "run 'show moves'; complete the move or take it back"
+    " first",
+    Reason.MOVE_DECIDED: "run 'show move' to read its verdict",
+    Reason.UNKNOWN_MOVE: "run 'show moves' or 'show history' for its id",
+    Reason.UNKNOWN_SERVICE: "run 'show arrangement' for the services",
+    Reason.UNKNOWN_TARGET_VERSION: "publish a version that declares it first",
+    Reason.ALREADY_CURRENT: "nothing needs moving",
+}
+
+
+class Executor:
+    """Executes commands on one node.
+
+    Attributes:
+        node: The node; see `fulmarrudder.node.node.Node`.
+    """
+
+    def __init__(self, node, fleet):
+        self.node = node
+        self.fleet = fleet
+
+    async def execute(
+        self,
+        command: Command,
+        operator: str,
+        arrangement: Arrangement | None,
+    ) -> Answer:
+        """Executes one command.
+
+        Args:
+            command: The command.
+            operator: Who gave it.
+            arrangement: The document that came with it, if any.
+
+        Returns:
+            What became of it.
+        """
+        return await self._run(command, operator, arrangement)
+
+    @singledispatchmethod
+    async def _run(self, command, operator, arrangement) -> Answer:
+        raise TypeError(f"not a command: {type(command).__name__}")
+
+    @_run.register
+    async def _(self, command: ShowStatus, operator, arrangement) -> Answer:
+        state = self.node.holder.state
+        statuses = []
+        for view in self.fleet.data_centres():
+            statuses.append(
+                DataCentreStatus(
+                    name=view.name,
+                    heard=view.heard,
+                    nodes=view.nodes,
+                    version=view.version,
+                    offset=view.offset,
+                    behind=max(0, state.offset - view.offset),
+                    lagging=view.lagging,
+                )
+            )
+        return Status(
+            answered_by=self.node.settings.node,
+            version=state.version,
+            offset=state.offset,
+            operator=state.operator,
+            log_available=self.node.feed.available,
+            controller=self.node.mesh.controller(),
+            open_moves=len(state.moves),
+            data_centres=tuple(statuses),
+        )
+
+    @_run.register
+    async def _(self, command: ShowNodes, operator, arrangement) -> Answer:
+        asked = self.fleet.ask_relays(command.data_centre)
+        replies = await gatherResults(asked)
+        found = {}
+        heard = set()
+        for reply in replies:
+            if reply.nodes is None:
+                continue
+            heard.add(reply.data_centre)
+            for held in reply.nodes:
+                known = found.get(held.node)
+                if known is None or known.offset < held.offset:
+                    found[held.node] = held
+        newest = self.node.holder.state.offset
+        nodes = [
+            held
+            for _, held in sorted(found.items())
+            if not command.lagging or held.offset < newest
+        ]
+        unheard = {reply.data_centre for reply in replies} - heard
+        return NodeList(
+            offset=newest, nodes=tuple(nodes), unheard=tuple(sorted(unheard))
+        )
+
+    @_run.register
+    async def _(self, command: ShowMoves, operator, arrangement) -> Answer:
+        return self._moves(self.node.holder.state.moves)
+
+    @_run.register
+    async def _(self, command: ShowMove, operator, arrangement) -> Answer:
+        move = move_with(self.node.holder.state, command.move)
+        if move is None:
+            return Denied(
+                reason=Reason.UNKNOWN_MOVE.value,
+                detail=f"no move {command.move}",
+                advice=ADVICE[Reason.UNKNOWN_MOVE],
+            )
+        return self._moves((move,))
+
+    @_run.register
+    async def _(self, command: ShowHistory, operator, arrangement) -> Answer:
+        history = self.node.holder.state.history
+        wanted = command.service
+        return self._moves(
+            tuple(m for m in history if wanted in ("", m.service))
+        )
+
+    @_run.register
+    async def _(self, command: ShowArrangement, operator, arrangement):
+        state = self.node.holder.state
+        return InForceArrangement(
+            version=state.version, arrangement=state.arrangement
+        )
+
+    @_run.register
+    async def _(self, command: PublishVersion, operator, arrangement):
+        if arrangement is None:
+            return Denied(
+                reason="no-document",
+                detail="no document came with the command",
+                advice="use: fulmarrudder publish FILE --expecting N",
+            )
+        body = Publish(
+            operator=operator,
+            expected=command.expected,
+            arrangement=arrangement,
+        )
+        return await self._append(body, "published")
+
+    @_run.register
+    async def _(self, command: BeginMove, operator, arrangement) -> Answer:
+        body = StartMove(
+            move=command.move,
+            operator=operator,
+            service=command.service,
+            to_version=command.to_version,
+            expected=command.expected,
+            deadline=command.deadline,
+        )
+        return await self._append(body, f"move {command.move} started")
+
+    @_run.register
+    async def _(self, command: CompleteMove, operator, arrangement):
+        body = EndMove(
+            move=command.move,
+            decision=Decision.COMPLETE,
+            by=operator,
+            reason=command.reason,
+        )
+        return await self._append(body, f"move {command.move} completing")
+
+    @_run.register
+    async def _(self, command: TakeMoveBack, operator, arrangement):
+        body = EndMove(
+            move=command.move,
+            decision=Decision.TAKE_BACK,
+            by=operator,
+            reason=command.reason,
+        )
+        return await self._append(body, f"move {command.move} taking back")
+
+    def _moves(self, moves) -> MoveList:
+        missing = self.node.controller.missing
+        return MoveList(
+            moves=tuple(
+                MoveStatus(
+                    move=move,
+                    verdict=verdict_of(move, missing.get(move.id, "")),
+                )
+                for move in moves
+            )
+        )
+
+    async def _append(self, body: Body, detail: str) -> Answer:
+        logs.info("command", kind=type(body).__name__, detail=detail)
+        try:
+            outcome = await self.node.submit(body, limit_s=APPEND_LIMIT_S)
+        except UndecidedError:
+            return Undecided(
+                detail="the log did not show the record in time; it may yet"
+                " take effect",
+                advice="run 'show status' and 'show moves' before you repeat"
+                " the command; a repeat with the same expectation is safe",
+            )
+        if isinstance(outcome, Refused):
+            return Denied(
+                reason=outcome.reason.value,
+                detail=outcome.detail,
+                advice=ADVICE.get(outcome.reason, "run 'show status'"),
+            )
+        assert isinstance(outcome, Applied)
+        return Done(
+            offset=outcome.offset,
+            version=self.node.holder.state.version,
+            detail=detail,
+        )
--- /dev/null
+++ b/src/fulmarrudder/operate/fleet.py
@@ -0,0 +1,176 @@
+"""What a relay knows of all data centres, for operators and verdicts."""
+
+import dataclasses
+import json
+
+import pydantic
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.web.http_headers import Headers
+
+from fulmarrudder.clock import Clock
+from fulmarrudder.distribution import all_relays
+from fulmarrudder.fold import Duty
+from fulmarrudder.model import Condition, Held, Summary
+from fulmarrudder.move import Confirmation, confirm
+from fulmarrudder.observe import logs
+
+FRESH_S = 5.0
+ASK_LIMIT_S = 2.0
+LAGGING_SHOWN = 10
+_HELD = pydantic.TypeAdapter(tuple[Held, ...])
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DataCentreView:
+    """A data centre as its relays' summaries show it."""
+
+    name: str
+    heard: bool
+    nodes: int
+    version: int
+    offset: int
+    lagging: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RelayReply:
+    """What a relay said of its nodes.
+
+    Attributes:
+        nodes: What they hold, or None when the relay did not answer.
+    """
+
+    data_centre: str
+    nodes: tuple[Held, ...] | None
+
+
+class Fleet:
+    """Collects summaries, and makes this relay's own.
+
+    Attributes:
+        heard: Clock seconds at which each relay's summary last came.
+    """
+
+    def __init__(self, node, reactor, clock: Clock):
+        pool = HTTPConnectionPool(reactor, persistent=True)
+        self.node = node
+        self.clock = clock
+        self.reactor = reactor
+        self.agent = Agent(reactor, connectTimeout=ASK_LIMIT_S, pool=pool)
+        self.heard: dict[str, float] = {}
+        self.sequence = 0
+
+    def note(self, summary: Summary) -> None:
+        """Notes that a relay was heard."""
+        self.heard[summary.relay] = self.clock.seconds()
+
+    def held_here(self) -> tuple[Held, ...]:
+        """Returns what the nodes of this relay hold, and itself."""
+        node = self.node
+        via = node.mesh.spreader.via
+        peers = set(node.mesh.peers.by_node.values())
+        found = []
+        for held in node.facts.all_of(Held):
+            if held.node == node.settings.node:
+                found.append(held)
+                continue
+            presence = node.facts.presence_of(held.node)
+            if presence is None or presence.condition is Condition.LOST:
+                continue
+            if presence.data_centre != node.settings.data_centre:
+                continue
+            if via.get(held.node) not in peers:
+                found.append(held)
+        return tuple(sorted(found, key=lambda held: held.node))
+
+    def summary(self) -> Summary:
+        """Makes this relay's summary."""
+        node, state = self.node, self.node.holder.state
+        held = self.held_here()
+        behind = [h for h in held if h.offset < state.offset]
+        lowest = min(held, key=lambda h: h.offset, default=None)
+        self.sequence += 1
+        return Summary(
+            relay=node.settings.node,
+            data_centre=node.settings.data_centre,
+            incarnation=node.incarnation,
+            sequence=self.sequence,
+            nodes=len(held),
+            offset=lowest.offset if lowest else state.offset,
+            version=min((h.version for h in held), default=state.version),
+            relay_offset=state.offset,
+            lagging=tuple(behind[:LAGGING_SHOWN]),
+        )
+
+    def fresh(self) -> tuple[Summary, ...]:
+        """Returns the summaries that came lately."""
+        oldest = self.clock.seconds() - FRESH_S
+        return tuple(
+            s
+            for s in self.node.facts.all_of(Summary)
+            if self.heard.get(s.relay, oldest) > oldest
+        )
+
+    def confirmed(self, offset: int) -> Confirmation:
+        """Tells where a record is in force."""
+        relays = all_relays(self.node.holder.state)
+        places = frozenset(duty.data_centre for duty in relays)
+        return confirm(offset, places, self.fresh())
+
+    def data_centres(self) -> tuple[DataCentreView, ...]:
+        """Returns every data centre as it was last heard."""
+        relays = all_relays(self.node.holder.state)
+        names = {duty.data_centre for duty in relays}
+        fresh = self.fresh()
+        names |= {summary.data_centre for summary in fresh}
+        return tuple(_view(name, fresh) for name in sorted(names))
+
+    def ask_relays(self, data_centre: str) -> list[Deferred]:
+        """Asks relays what their nodes hold.
+
+        Args:
+            data_centre: Only this one's, or empty for all.
+
+        Returns:
+            Deferreds of `RelayReply`; none fails.
+        """
+        asked = []
+        for duty in all_relays(self.node.holder.state):
+            if data_centre in ("", duty.data_centre):
+                asked.append(ensureDeferred(self._ask(duty)))
+        return asked
+
+    async def _ask(self, duty: Duty) -> RelayReply:
+        token = self.node.settings.mesh_token
+        headers = Headers({"authorization": [f"Bearer {token}"]})
+        url = f"http://{duty.admin_address}/v1/held".encode()
+        try:
+            asked = self.agent.request(b"GET", url, headers)
+            response = await asked.addTimeout(ASK_LIMIT_S, self.reactor)
+            data = await readBody(response).addTimeout(
+                ASK_LIMIT_S, self.reactor
+            )
+            nodes = _HELD.validate_json(data)
+        except Exception as error:
+            logs.info("relay-silent", duty=duty.name, error=error)
+            return RelayReply(data_centre=duty.data_centre, nodes=None)
+        return RelayReply(data_centre=duty.data_centre, nodes=nodes)
+
+
+def held_json(held: tuple[Held, ...]) -> bytes:
+    """Encodes what nodes hold."""
+    return json.dumps(_HELD.dump_python(held, mode="json")).encode()
+
+
+def _view(name: str, fresh: tuple[Summary, ...]) -> DataCentreView:
+    own = [s for s in fresh if s.data_centre == name]
+    lagging = [held.node for s in own for held in s.lagging]
+    return DataCentreView(
+        name=name,
+        heard=bool(own),
+        nodes=sum(s.nodes for s in own),
+        version=min((s.version for s in own), default=0),
+        offset=min((s.offset for s in own), default=-1),
+        lagging=tuple(lagging[:LAGGING_SHOWN]),
+    )
