Two faults found by process tests: a lost last answer, a stalled connection

Cause 1: a graceful stop of the entry node during an upload lost the answer. The stop waited for calls to end, then ended the reactor in the same turn, before the transport had written the last bytes. Ruled out: the host node (its log shows that it had answered). Change: the stop waits until every connection is closed.

Cause 2: the second 200 MB upload over a kept connection between two nodes stalled until it timed out. Sockets showed 410 bytes unread at the host node: its connection had been paused for back-pressure when the first body's end came and was never read again. Ruled out: chunked framing (it worked alone).

--- a/src/fulmarrudder/call/body.py
+++ b/src/fulmarrudder/call/body.py
@@ -78,6 +78,8 @@
     def receive_end(self) -> None:
         """Receives the end from the connection."""
         self.ended = True
+        # The connection outlives this body and has to be read further.
+        self.resumeProducing()
         if self.sink is not None:
             self.sink.take_end()
         self._wake()
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -79,7 +79,8 @@
         """Closes idle connections, and others once they are idle.
 
         Returns:
-            Deferred that fires when no call is under way.
+            Deferred that fires when every connection is closed, so that the
+            last answers have left this process.
         """
         self.leaving = True
         for connection in tuple(self.connections):
@@ -90,8 +91,8 @@
         return done
 
     def note_idle(self) -> None:
-        """Tells those who wait that no call is under way."""
-        if self.active or not self.leaving:
+        """Tells those who wait that every connection is closed."""
+        if self.connections or not self.leaving:
             return
         waiting, self.idle = self.idle, []
         for done in waiting:
@@ -139,6 +140,7 @@
         self.closing = True
         if self.call is not None:
             self.call.caller_lost()
+        self.factory.note_idle()
 
     def dataReceived(self, data):  # noqa: N802
         """Decodes what came and serves it in order."""
@@ -233,7 +235,6 @@
             self.transport.loseConnection()
         else:
             self.factory.clock.callLater(0, self.pump)
-        self.factory.note_idle()
 
     def close_if_idle(self) -> None:
         """Closes the connection unless a call is under way."""
