--- a/src/fulmarrudder/call/claims.py
+++ b/src/fulmarrudder/call/claims.py
@@ -32,6 +32,7 @@
 
 READ_LIMIT = 500
 SETTLED_WAIT_MS = 500
+POLL_S = 0.05
 BATCH_WINDOW_S = 0.002
 BATCH_LIMIT = 200
 RETRY_BASE_S = 0.05
@@ -185,6 +186,8 @@
         while entry.settled is None and self.clock.seconds() < deadline:
             if not await self._read(SETTLED_WAIT_MS):
                 return Pending()
+            if entry.settled is None:
+                await self._sleep(POLL_S, deadline)
         if entry.settled is None:
             return Pending()
         return Settled(answer=entry.settled)
--- a/src/fulmarrudder/log/tail.py
+++ b/src/fulmarrudder/log/tail.py
@@ -12,6 +12,7 @@
 
 READ_LIMIT = 500
 WAIT_MS = 2_000
+POLL_S = 0.02
 RETRY_BASE_S = 0.1
 RETRY_LIMIT_S = 2.0
 
@@ -93,7 +94,8 @@
             self.next_offset = batch.records[-1].offset + 1
         elif self.next_offset == LAST:
             self.next_offset = batch.next_offset
-        self.retry = self.clock.callLater(0, self._read)
+        delay = 0.0 if batch.records else POLL_S
+        self.retry = self.clock.callLater(delay, self._read)
         self.on_batch(batch)
 
     def _failed(self, failure) -> None:
--- /dev/null
+++ b/tests/call/test_choose.py
@@ -0,0 +1,85 @@
+"""Endpoints are chosen from what is observed, near ones first."""
+
+import collections
+import random
+
+from fulmarrudder.call.choose import EJECT_BASE_S, RAMP_S, Chooser
+from fulmarrudder.model import Condition, Presence
+
+
+def endpoint(name, place="lima-1", version="1", slots=2, **changes):
+    return Presence(
+        node=name,
+        incarnation=1,
+        sequence=1,
+        data_centre=place,
+        call_address="",
+        mesh_address="",
+        service="caja",
+        target_version=version,
+        slots=slots,
+        condition=changes.get("condition", Condition.READY),
+    )
+
+
+def chooser():
+    return Chooser("lima-1", random.Random(1))
+
+
+def shares(choosing, present, now, count=400, version="1"):
+    found = collections.Counter()
+    for _ in range(count):
+        chosen = choosing.choose(present, version, now)
+        found[chosen.node if chosen else None] += 1
+    return found
+
+
+def test_own_data_centre_comes_first_until_it_has_no_room():
+    choosing = chooser()
+    present = (endpoint("near"), endpoint("far", place="lima-2"))
+    assert set(shares(choosing, present, 10.0)) == {"near"}
+    choosing.sent(present[0], 10.0)
+    choosing.sent(present[0], 10.0)
+    assert set(shares(choosing, present, 10.0)) == {"far"}
+
+
+def test_leaving_and_other_versions_get_nothing():
+    choosing = chooser()
+    present = (
+        endpoint("a", condition=Condition.LEAVING),
+        endpoint("b", version="2"),
+    )
+    assert choosing.choose(present, "1", 0.0) is None
+
+
+def test_failing_endpoint_is_ejected_and_returns_slowly():
+    choosing = chooser()
+    present = (endpoint("good"), endpoint("bad"))
+    shares(choosing, present, 0.0)
+    for _ in range(3):
+        choosing.sent(present[1], 100.0)
+        choosing.finished(present[1], 100.0, 0.001, failed=True)
+    assert set(shares(choosing, present, 100.1)) == {"good"}
+    back = shares(choosing, present, 100.0 + EJECT_BASE_S + 0.1)
+    warm = shares(choosing, present, 100.0 + EJECT_BASE_S + 2 * RAMP_S)
+    assert 0 <= back["bad"] < warm["bad"]
+
+
+def test_when_all_are_ejected_they_are_still_tried():
+    choosing = chooser()
+    present = (endpoint("only"),)
+    for _ in range(3):
+        choosing.sent(present[0], 0.0)
+        choosing.finished(present[0], 0.0, 0.001, failed=True)
+    assert choosing.choose(present, "1", 0.1) == present[0]
+
+
+def test_slow_endpoint_gets_less_whatever_it_reports():
+    choosing = chooser()
+    present = (endpoint("fast"), endpoint("slow"))
+    for _ in range(50):
+        for one, took in zip(present, (0.002, 0.2), strict=True):
+            choosing.sent(one, 0.0)
+            choosing.finished(one, 0.0, took, failed=False)
+    found = shares(choosing, present, 100.0)
+    assert found["fast"] > 10 * found["slow"]
--- /dev/null
+++ b/tests/call/test_share.py
@@ -0,0 +1,92 @@
+"""The share of a move decides which target version serves."""
+
+import random
+
+import pytest
+
+from fulmarrudder.call.share import versions_for
+from fulmarrudder.model import Brake, Decision, EndMove, StartMove, StepMove
+from tests.conftest import claim, publish
+
+
+@pytest.fixture
+def moving(published):
+    published.tell(
+        StartMove(
+            move="m",
+            operator="ana",
+            service="caja",
+            to_version="2",
+            expected=1,
+            deadline=2e9,
+        )
+    )
+    return published
+
+
+def step(story, permille, before=0):
+    story.tell(
+        StepMove(move="m", term=1, expected_permille=before, permille=permille)
+    )
+
+
+def new_share(state, brakes=(), route="quotes", count=4000):
+    rng = random.Random(7)
+    served = [
+        versions_for(state, "caja", route, brakes, rng)[0] for _ in range(count)
+    ]
+    return served.count("2") / count
+
+
+def brake(move="m", route=""):
+    return Brake(
+        move=move, service="caja", target_version="2", route=route, reason="r"
+    )
+
+
+def test_share_is_kept_within_chance(moving):
+    assert new_share(moving.state) == 0
+    step(moving, 100)
+    assert 0.08 < new_share(moving.state) < 0.12
+
+
+def test_new_version_is_never_the_last_resort(moving):
+    step(moving, 10)
+    rng = random.Random(1)
+    for _ in range(500):
+        found = versions_for(moving.state, "caja", "quotes", (), rng)
+        assert found in (("1",), ("2", "1"))
+
+
+def test_brake_stops_at_once_and_on_its_route_only(moving):
+    step(moving, 500)
+    assert new_share(moving.state, (brake(),)) == 0
+    by_route = (brake(route="deposits"),)
+    assert new_share(moving.state, by_route, "deposits") == 0
+    assert new_share(moving.state, by_route, "quotes") > 0.4
+
+
+def test_brake_of_an_earlier_move_stops_nothing(moving):
+    step(moving, 500)
+    assert new_share(moving.state, (brake(move="old"),)) > 0.4
+
+
+def test_completed_move_sends_nothing_to_the_old_version(moving):
+    moving.tell(
+        EndMove(move="m", decision=Decision.COMPLETE, by="ana", reason="r")
+    )
+    assert new_share(moving.state) == 1
+
+
+def test_taken_back_move_sends_nothing_to_the_new_version(moving):
+    step(moving, 500)
+    moving.tell(
+        EndMove(move="m", decision=Decision.TAKE_BACK, by="ana", reason="r")
+    )
+    assert new_share(moving.state) == 0
+
+
+def test_unknown_service_has_no_versions(story):
+    story.tell(publish())
+    story.tell(claim())
+    assert versions_for(story.state, "x", "r", (), random.Random(1)) == ()
