Moves: hold small shares longest, judge slowness on the shortest fit window

Change: holds weighted 5:5:2:1:1:1 with a slack of 10; slowness is judged on the shortest of 10, 20, 40 and 80 s that has 10 timed answers. Cold targets are decided in one place, call/warmth.

--- a/lab/fulmarrudder_lab/moves.py
+++ b/lab/fulmarrudder_lab/moves.py
@@ -15,8 +15,16 @@
 
 from fulmarrudder.call.share import versions_for
 from fulmarrudder.call.tally import Tallies
+from fulmarrudder.call.warmth import Warmth
 from fulmarrudder.distribution import Holder
-from fulmarrudder.fold import CONTROLLER, Move, Phase, duty_named, move_with
+from fulmarrudder.fold import (
+    CONTROLLER,
+    Move,
+    Phase,
+    Refused,
+    duty_named,
+    move_with,
+)
 from fulmarrudder.log import Envelope, RawRecord, encode
 from fulmarrudder.membership import FactStore
 from fulmarrudder.model import (
@@ -126,6 +134,7 @@
             for version in (OLD, NEW)
             for index in range(scenario.targets)
         }
+        self.warmth = {place: Warmth() for place in self.tallies}
         self.first_new: float | None = None
         self.bad_since: float | None = None
         self.last_new = 0.0
@@ -168,8 +177,13 @@
             failed = failed or self.rng.random() < PEAK_FAILURES
         if version == NEW:
             took, failed = self._new(route, now, permille, took, failed)
+        cold = self.warmth[(version, index)].cold(1, now)
         self.tallies[(version, index)].note(
-            SERVICE, version, route, failed=failed, took_s=took
+            SERVICE,
+            version,
+            route,
+            failed=failed,
+            took_s=None if cold else took,
         )
 
     def _new(self, route, now, permille, took, failed):
@@ -232,6 +246,7 @@
         self.heard = ("dc-1",)
         self.unheard: tuple[str, ...] = ()
         self.waiting: list[RawRecord] = []
+        self.on_refused = lambda reason: None
         self.reported = 0
         self._begin()
 
@@ -377,6 +392,8 @@
         )
 
     def _outcome(self, outcome) -> None:
+        if isinstance(outcome, Refused):
+            self.on_refused(outcome.reason.value)
         done = self.outcomes.pop(outcome.id, None)
         if done is not None:
             done.callback(outcome)
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -35,13 +35,11 @@
 from fulmarrudder.call.suspects import STRIKE_S, refuse_suspect
 from fulmarrudder.call.tally import Tallies
 from fulmarrudder.call.upstream import BrokenError, Ended, Exchange, Pool
+from fulmarrudder.call.warmth import Warmth
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.membership import Beside, FactStore
 from fulmarrudder.model import Condition, SettleKey, Strike
 
-COLD_S = 5.0
-COLD_REQUESTS = 10
-COLD_LIMIT_S = 60.0
 KEPT_ANSWER_BYTES = 4_096
 FAILED_FROM = 500
 
@@ -121,8 +119,7 @@
         self.claims: dict[str, Claims] = {}
         self.leaving = False
         self.in_flight = 0
-        self.warming = -1
-        self.served = 0
+        self.warmth = Warmth()
 
     def announced(self) -> None:
         """Takes over the slots that the target announced."""
@@ -254,7 +251,9 @@
 
     def _tally(self, request: HostRequest, started: float, *, failed) -> None:
         now = self.clock.seconds()
-        cold = self._cold(now - self.beside.since)
+        cold = self.warmth.cold(
+            self.beside.latest.incarnation, now - self.beside.since
+        )
         self.tallies.note(
             request.service,
             request.target_version,
@@ -263,16 +262,6 @@
             took_s=None if cold else now - started,
         )
 
-    def _cold(self, age_s: float) -> bool:
-        incarnation = self.beside.latest.incarnation
-        if incarnation != self.warming:
-            self.warming = incarnation
-            self.served = 0
-        self.served += 1
-        if age_s > COLD_LIMIT_S:
-            return False
-        return age_s < COLD_S or self.served <= COLD_REQUESTS
-
     def _strike(self, request: HostRequest, incarnation: int) -> None:
         address = self.beside.latest.address
         self.spread(
--- /dev/null
+++ b/src/fulmarrudder/call/warmth.py
@@ -0,0 +1,38 @@
+"""Decision on whether a target is still cold; pure but for its count."""
+
+COLD_S = 5.0
+COLD_REQUESTS = 10
+COLD_LIMIT_S = 60.0
+
+
+class Warmth:
+    """Tells whether answers of a target should count for latency yet.
+
+    A target starts cold: its first answers are slow and say nothing of the
+    version that it runs.
+
+    Attributes:
+        incarnation: Incarnation of the target that is counted.
+        served: Requests that it has served.
+    """
+
+    __slots__ = ("incarnation", "served")
+
+    def __init__(self):
+        self.incarnation = -1
+        self.served = 0
+
+    def cold(self, incarnation: int, age_s: float) -> bool:
+        """Counts a request and tells whether the target is still cold.
+
+        Args:
+            incarnation: Incarnation of the target.
+            age_s: Seconds since it became ready.
+        """
+        if incarnation != self.incarnation:
+            self.incarnation = incarnation
+            self.served = 0
+        self.served += 1
+        if age_s > COLD_LIMIT_S:
+            return False
+        return age_s < COLD_S or self.served <= COLD_REQUESTS
--- a/src/fulmarrudder/move/judge.py
+++ b/src/fulmarrudder/move/judge.py
@@ -8,12 +8,13 @@
 import dataclasses
 import math
 
-from fulmarrudder.move.ledger import Counts, RouteEvidence, whole_of
+from fulmarrudder.move.ledger import Counts, RouteEvidence, Window, whole_of
 
 CONFIDENCE_Z = 2.8
 LEAST_FAILURES = 3
 FAILURE_MARGIN = 0.005
-LEAST_TIMED = 25
+LEAST_TIMED = 10
+LEAST_TIMED_OLD = 25
 SLOW_MARGIN = 0.10
 ORDINARY_SHARE = 0.9
 
@@ -45,32 +46,46 @@
 Finding = Bad | Unproven
 
 
-def judge(
-    step: tuple[RouteEvidence, ...], recent: tuple[RouteEvidence, ...]
-) -> Finding:
+def judge(step: Window, recent: tuple[Window, ...]) -> Finding:
     """Judges the new version, on each route and on all together.
 
     Args:
         step: Evidence of the present share.
-        recent: Evidence of the latest seconds.
+        recent: Evidence of the latest seconds, the shortest window first.
 
     Returns:
         What is found.
     """
-    whole = whole_of(step)
-    for part in (*step, whole, *recent, whole_of(recent)):
+    whole = whole_of(step.routes)
+    latest = recent[0].routes
+    for part in (*step.routes, whole, *latest, whole_of(latest)):
         reason = _worse_failures(part)
         if reason:
             return Bad(route=part.route, reason=reason)
-    # A version that starts cold is slow at first and then recovers, so that
-    # slowness counts only while it lasts.
-    for part in (*recent, whole_of(recent)):
+    for part in _timed(recent):
         reason = _worse_latency(part)
         if reason:
             return Bad(route=part.route, reason=reason)
     return Unproven(requests=whole.new.requests)
 
 
+def _timed(recent: tuple[Window, ...]) -> tuple[RouteEvidence, ...]:
+    """Finds for each route the shortest window that can be judged.
+
+    A version that starts cold is slow at first and then recovers, so that
+    slowness counts only while it lasts.
+    """
+    found: dict[str, RouteEvidence] = {}
+    for window in recent:
+        for part in (*window.routes, whole_of(window.routes)):
+            if part.route in found:
+                continue
+            old_timed, new_timed = sum(part.old.slow), sum(part.new.slow)
+            if new_timed >= LEAST_TIMED and old_timed >= LEAST_TIMED_OLD:
+                found[part.route] = part
+    return tuple(found.values())
+
+
 def wilson(part: int, whole: int, z: float = CONFIDENCE_Z) -> tuple:
     """Returns the Wilson interval of a share.
 
@@ -111,8 +126,6 @@
 
 def _worse_latency(part: RouteEvidence) -> str:
     old_timed, new_timed = sum(part.old.slow), sum(part.new.slow)
-    if new_timed < LEAST_TIMED or old_timed < LEAST_TIMED:
-        return ""
     bound = _ordinary_bucket(part.old)
     old_slow = sum(part.old.slow[bound + 1 :])
     new_slow = sum(part.new.slow[bound + 1 :])
--- a/src/fulmarrudder/move/ledger.py
+++ b/src/fulmarrudder/move/ledger.py
@@ -5,7 +5,7 @@
 
 from fulmarrudder.model import Evidence, Tally
 
-RECENT_S = 10.0
+WINDOWS_S = (10.0, 20.0, 40.0, 80.0)
 MARK_EVERY_S = 1.0
 
 
@@ -47,6 +47,13 @@
     new: Counts
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Window:
+    """The evidence of one interval, by route."""
+
+    routes: tuple[RouteEvidence, ...]
+
+
 NOTHING = Counts()
 Totals = dict[tuple[str, str], Counts]
 
@@ -100,7 +107,7 @@
         if now - self.marks[-1][0] < MARK_EVERY_S:
             return
         self.marks.append((now, dict(self.totals)))
-        while len(self.marks) > 1 and self.marks[1][0] <= now - RECENT_S:
+        while len(self.marks) > 1 and self.marks[1][0] <= now - WINDOWS_S[-1]:
             self.marks.popleft()
 
     def begin_step(self) -> None:
@@ -111,9 +118,24 @@
         """Returns the evidence of the present share, by route."""
         return self._between(self.step)
 
-    def recent(self) -> tuple[RouteEvidence, ...]:
-        """Returns the evidence of the latest seconds, by route."""
-        return self._between(self.marks[0][1])
+    def recent(self, now: float) -> tuple[Window, ...]:
+        """Returns the evidence of the latest seconds, by route.
+
+        Args:
+            now: Clock seconds.
+
+        Returns:
+            Windows, the shortest first.
+        """
+        windows = []
+        for length in WINDOWS_S:
+            start = self.marks[0][1]
+            for at, totals in self.marks:
+                if at > now - length:
+                    break
+                start = totals
+            windows.append(Window(routes=self._between(start)))
+        return tuple(windows)
 
     def _between(self, start: Totals) -> tuple[RouteEvidence, ...]:
         found = []
--- a/src/fulmarrudder/move/monitor.py
+++ b/src/fulmarrudder/move/monitor.py
@@ -12,7 +12,7 @@
 from fulmarrudder.membership import FactStore
 from fulmarrudder.model import Brake, Evidence
 from fulmarrudder.move.judge import Bad, Finding, judge
-from fulmarrudder.move.ledger import Ledger
+from fulmarrudder.move.ledger import Ledger, Window
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -74,7 +74,8 @@
         for move_id, watched in self.watched.items():
             ledger = watched.ledger
             ledger.mark(now)
-            watched.finding = judge(ledger.since_step(), ledger.recent())
+            step = Window(routes=ledger.since_step())
+            watched.finding = judge(step, ledger.recent(now))
             if isinstance(watched.finding, Bad):
                 self._brake(move_id, watched.finding, ledger)
 
--- a/src/fulmarrudder/move/schedule.py
+++ b/src/fulmarrudder/move/schedule.py
@@ -10,10 +10,11 @@
 from fulmarrudder.move.judge import Bad, Finding
 
 SHARES_PERMILLE = (10, 20, 50, 100, 250, 500, 1000)
+HOLD_WEIGHTS = (5, 5, 2, 1, 1, 1, 0)
 WHOLE_PERMILLE = 1000
 LEAST_HOLD_S = 2.0
 MOST_HOLD_S = 120.0
-HOLD_SHARE_OF_TIME = 0.5
+SLACK_WEIGHT = 10
 REQUESTS_WANTED = 40
 REQUESTS_LEAST = 10
 FEW_ALLOWED_PERMILLE = 50
@@ -95,13 +96,22 @@
 def hold_for(permille: int, left_s: float) -> float:
     """Returns how long a share is held.
 
+    Most of the time goes to the small shares, where a version that turns bad
+    later costs few requests.
+
     Args:
         permille: The share.
         left_s: Seconds from the beginning of the share to the deadline.
     """
-    steps_left = sum(1 for share in SHARES_PERMILLE if share > permille)
-    even = left_s * HOLD_SHARE_OF_TIME / max(1, steps_left)
-    return min(MOST_HOLD_S, max(LEAST_HOLD_S, even))
+    weight, left = 1, 0
+    steps = zip(SHARES_PERMILLE, HOLD_WEIGHTS, strict=True)
+    for share, share_weight in steps:
+        if share == permille:
+            weight = share_weight
+        if share >= permille:
+            left += share_weight
+    part = left_s * weight / (left + SLACK_WEIGHT)
+    return min(MOST_HOLD_S, max(LEAST_HOLD_S, part))
 
 
 def _first(left_s: float) -> Action:
--- /dev/null
+++ b/tests/move/test_schedule.py
@@ -0,0 +1,77 @@
+"""The deadline decides the pace, never the conclusion."""
+
+import pytest
+
+from fulmarrudder.fold import Move
+from fulmarrudder.move import Bad, Unproven, next_action
+from fulmarrudder.move.schedule import (
+    HOLD_WEIGHTS,
+    LEAST_HOLD_S,
+    SHARES_PERMILLE,
+    Finish,
+    GiveUp,
+    Raise,
+    Wait,
+    hold_for,
+)
+
+
+def move(permille, deadline=1000.0):
+    return Move(
+        id="m",
+        service="s",
+        from_version="1",
+        to_version="2",
+        operator="a",
+        deadline=deadline,
+        permille=permille,
+    )
+
+
+def act(permille, *, requests=1000, held=1e6, wall=0.0):
+    return next_action(
+        move(permille), Unproven(requests=requests), held_s=held, wall=wall
+    )
+
+
+def test_shares_rise_one_after_another_to_the_end():
+    for share, following in zip(
+        SHARES_PERMILLE, SHARES_PERMILLE[1:], strict=False
+    ):
+        action = act(share)
+        if following == 1000:
+            assert isinstance(action, Finish)
+        else:
+            assert action == Raise(permille=following)
+
+
+@pytest.mark.parametrize("permille", [0, 10, 500])
+def test_bad_finding_gives_up_at_once(permille):
+    bad = Bad(route="r", reason="fails")
+    action = next_action(move(permille), bad, held_s=0.0, wall=0.0)
+    assert action == GiveUp(route="r", reason="fails")
+
+
+def test_share_is_not_raised_before_its_time_or_without_evidence():
+    assert isinstance(act(10, held=0.1), Wait)
+    waiting = act(500, requests=3)
+    assert waiting == Wait(missing="37 requests on the new version")
+
+
+def test_passed_deadline_takes_back_and_says_so():
+    action = act(250, wall=1000.1)
+    assert action == GiveUp(route="", reason="deadline passed at 250 permille")
+    assert isinstance(act(0, wall=1000.1), GiveUp)
+
+
+def test_holds_fit_the_deadline_and_favour_small_shares():
+    left, spent = 300.0, 0.0
+    holds = []
+    for share in SHARES_PERMILLE[:-1]:
+        hold = hold_for(share, left - spent)
+        holds.append(hold)
+        spent += hold
+    assert spent < 0.7 * left
+    assert holds[0] > 3 * holds[-1]
+    assert hold_for(10, 1.0) == LEAST_HOLD_S
+    assert len(HOLD_WEIGHTS) == len(SHARES_PERMILLE)
