Moves: failures are compared interval by interval over the whole move

Traces show 3 to 5 failures of 13 to 37 against a peak's 2%: each look was a fresh chance to be wrong, and windows that began before the peak diluted the old version's failures.

Change: failures are split into 5 s intervals; were the versions alike, the new one's part of an interval's failures would follow its part of the requests; the binomial tail of the sum decides at 1e-5.

--- a/src/fulmarrudder/move/judge.py
+++ b/src/fulmarrudder/move/judge.py
@@ -1,18 +1,28 @@
 """Filter: evidence to a finding on the new target version; pure.
 
-The two versions are compared over the same interval, so that a load peak,
-which slows both, speaks against neither. A difference counts when the Wilson
-intervals of the two shares lie apart.
+The two versions are compared over the same intervals, so that a load peak,
+which troubles both, speaks against neither. Failures are counted over the whole
+move: were the versions alike, the new one's part of all failures would follow
+its part of the requests, and how unlikely its count then is decides. Latencies
+are compared over the latest seconds by Wilson intervals.
 """
 
 import dataclasses
 import math
 
-from fulmarrudder.move.ledger import Counts, RouteEvidence, Window, whole_of
+from fulmarrudder.move.ledger import (
+    Counts,
+    Failures,
+    RouteEvidence,
+    Window,
+    all_failures,
+    whole_of,
+)
 
-CONFIDENCE_Z = 2.8
+UNLIKELY = 1e-5
 LEAST_FAILURES = 3
-FAILURE_MARGIN = 0.005
+FAILURE_MARGIN = 0.01
+LATENCY_Z = 3.0
 LEAST_TIMED = 10
 LEAST_TIMED_OLD = 25
 SLOW_MARGIN = 0.10
@@ -46,19 +56,20 @@
 Finding = Bad | Unproven
 
 
-def judge(step: Window, recent: tuple[Window, ...]) -> Finding:
+def judge(
+    failures: tuple[Failures, ...], step: Window, recent: tuple[Window, ...]
+) -> Finding:
     """Judges the new version, on each route and on all together.
 
     Args:
+        failures: Failures since the move began, by route.
         step: Evidence of the present share.
         recent: Evidence of the latest seconds, the shortest window first.
 
     Returns:
         What is found.
     """
-    whole = whole_of(step.routes)
-    latest = recent[0].routes
-    for part in (*step.routes, whole, *latest, whole_of(latest)):
+    for part in (*failures, all_failures(failures)):
         reason = _worse_failures(part)
         if reason:
             return Bad(route=part.route, reason=reason)
@@ -66,7 +77,7 @@
         reason = _worse_latency(part)
         if reason:
             return Bad(route=part.route, reason=reason)
-    return Unproven(requests=whole.new.requests)
+    return Unproven(requests=whole_of(step.routes).new.requests)
 
 
 def _timed(recent: tuple[Window, ...]) -> tuple[RouteEvidence, ...]:
@@ -86,7 +97,7 @@
     return tuple(found.values())
 
 
-def wilson(part: int, whole: int, z: float = CONFIDENCE_Z) -> tuple:
+def wilson(part: int, whole: int, z: float) -> tuple:
     """Returns the Wilson interval of a share.
 
     Args:
@@ -108,15 +119,44 @@
     return max(0.0, lower), min(1.0, upper)
 
 
-def _worse_failures(part: RouteEvidence) -> str:
-    old, new = part.old, part.new
-    if new.failures < LEAST_FAILURES:
+def chance_of_at_least(count: int, total: int, expected: float) -> float:
+    """Returns the chance of that many of all failures, or more.
+
+    The failures fall on the new version independently, with chances that
+    differ by interval; the binomial distribution with their mean bounds the
+    tail of their sum.
+
+    Args:
+        count: Failures of the new version.
+        total: Failures of both.
+        expected: Failures that would be the new version's by chance.
+    """
+    if count <= expected or total == 0:
+        return 1.0
+    chance = expected / total
+    if chance <= 0.0:
+        return 0.0
+    log_in, log_out = math.log(chance), math.log1p(-chance)
+    tail = 0.0
+    for number in range(count, total + 1):
+        ways = math.lgamma(total + 1) - math.lgamma(number + 1)
+        ways -= math.lgamma(total - number + 1)
+        term = math.exp(ways + number * log_in + (total - number) * log_out)
+        tail += term
+        if term < tail * 1e-9:
+            break
+    return min(1.0, tail)
+
+
+def _worse_failures(part: Failures) -> str:
+    if part.new < LEAST_FAILURES:
+        return ""
+    old, new = part.evidence.old, part.evidence.new
+    old_rate = old.failures / old.requests if old.requests else 0.0
+    if new.failures / new.requests <= old_rate + FAILURE_MARGIN:
         return ""
-    lower, _ = wilson(new.failures, new.requests)
-    _, upper = wilson(old.failures, old.requests)
-    if old.requests == 0:
-        upper = 0.5
-    if lower <= upper + FAILURE_MARGIN:
+    chance = chance_of_at_least(part.new, part.total, part.expected)
+    if chance > UNLIKELY:
         return ""
     return (
         f"{new.failures} of {new.requests} requests failed, on the old"
@@ -129,8 +169,8 @@
     bound = _ordinary_bucket(part.old)
     old_slow = sum(part.old.slow[bound + 1 :])
     new_slow = sum(part.new.slow[bound + 1 :])
-    lower, _ = wilson(new_slow, new_timed)
-    _, upper = wilson(old_slow, old_timed)
+    lower, _ = wilson(new_slow, new_timed, LATENCY_Z)
+    _, upper = wilson(old_slow, old_timed, LATENCY_Z)
     if lower <= upper + SLOW_MARGIN:
         return ""
     return (
--- a/src/fulmarrudder/move/ledger.py
+++ b/src/fulmarrudder/move/ledger.py
@@ -54,7 +54,43 @@
     routes: tuple[RouteEvidence, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Failures:
+    """Failures of both versions on one route, interval by interval.
+
+    Were the versions alike, each failure of an interval would be the new
+    version's with the chance that one of its requests was.
+
+    Attributes:
+        total: Failures of both.
+        new: Failures of the new version.
+        expected: Failures that would be the new version's by chance.
+        evidence: Requests and failures of each version.
+    """
+
+    route: str
+    total: int
+    new: int
+    expected: float
+    evidence: RouteEvidence
+
+    def plus(self, other: "Failures") -> "Failures":
+        """Returns the failures of both under this one's route."""
+        return Failures(
+            route=self.route,
+            total=self.total + other.total,
+            new=self.new + other.new,
+            expected=self.expected + other.expected,
+            evidence=RouteEvidence(
+                route=self.route,
+                old=self.evidence.old.plus(other.evidence.old),
+                new=self.evidence.new.plus(other.evidence.new),
+            ),
+        )
+
+
 NOTHING = Counts()
+INTERVAL_S = 5.0
 Totals = dict[tuple[str, str], Counts]
 
 
@@ -66,6 +102,7 @@
             route.
         marks: Earlier totals, oldest first, with their clock seconds.
         step: Totals when the present share began.
+        closed: Failures of the intervals that have passed, by route.
     """
 
     def __init__(self, service: str, old: str, new: str, now: float):
@@ -76,6 +113,9 @@
         self.totals: Totals = {}
         self.marks: collections.deque = collections.deque([(now, {})])
         self.step: Totals = {}
+        self.closed: dict[str, Failures] = {}
+        self.interval: Totals = {}
+        self.interval_until = now + INTERVAL_S
 
     def take(self, evidence: Evidence, *, opening: bool) -> None:
         """Adds what a source has counted since it was last heard.
@@ -104,6 +144,10 @@
 
     def mark(self, now: float) -> None:
         """Remembers the totals, for counts over the latest seconds."""
+        if now >= self.interval_until:
+            self.closed = {part.route: part for part in self.failures()}
+            self.interval = dict(self.totals)
+            self.interval_until = now + INTERVAL_S
         if now - self.marks[-1][0] < MARK_EVERY_S:
             return
         self.marks.append((now, dict(self.totals)))
@@ -114,6 +158,15 @@
         """Starts counting anew for the present share."""
         self.step = dict(self.totals)
 
+    def failures(self) -> tuple[Failures, ...]:
+        """Returns the failures since the ledger was opened, by route."""
+        found = []
+        for part in self._between(self.interval):
+            now = _failures_of(part)
+            before = self.closed.get(part.route)
+            found.append(before.plus(now) if before else now)
+        return tuple(found)
+
     def since_step(self) -> tuple[RouteEvidence, ...]:
         """Returns the evidence of the present share, by route."""
         return self._between(self.step)
@@ -164,6 +217,28 @@
     return RouteEvidence(route="", old=old, new=new)
 
 
+def all_failures(parts: tuple[Failures, ...]) -> Failures:
+    """Returns the failures of all routes together; its route is empty."""
+    nothing = RouteEvidence(route="", old=NOTHING, new=NOTHING)
+    whole = Failures(route="", total=0, new=0, expected=0.0, evidence=nothing)
+    for part in parts:
+        whole = whole.plus(part)
+    return whole
+
+
+def _failures_of(part: RouteEvidence) -> Failures:
+    requests = part.old.requests + part.new.requests
+    share = part.new.requests / requests if requests else 0.0
+    total = part.old.failures + part.new.failures
+    return Failures(
+        route=part.route,
+        total=total,
+        new=part.new.failures,
+        expected=total * share,
+        evidence=part,
+    )
+
+
 def _counts_of(tally: Tally) -> Counts:
     return Counts(
         requests=tally.requests, failures=tally.failures, slow=tally.slow
--- a/src/fulmarrudder/move/monitor.py
+++ b/src/fulmarrudder/move/monitor.py
@@ -75,7 +75,7 @@
             ledger = watched.ledger
             ledger.mark(now)
             step = Window(routes=ledger.since_step())
-            watched.finding = judge(step, ledger.recent(now))
+            watched.finding = judge(ledger.failures(), step, ledger.recent(now))
             if isinstance(watched.finding, Bad):
                 self._brake(move_id, watched.finding, ledger)
 
--- a/tests/move/test_judge.py
+++ b/tests/move/test_judge.py
@@ -3,8 +3,8 @@
 import pytest
 
 from fulmarrudder.move import Bad, Counts, RouteEvidence, Unproven, judge
-from fulmarrudder.move.judge import wilson
-from fulmarrudder.move.ledger import Window
+from fulmarrudder.move.judge import chance_of_at_least, wilson
+from fulmarrudder.move.ledger import Failures, Ledger, Window
 
 
 def counts(requests, failures=0, slow_share=0.0):
@@ -19,7 +19,26 @@
 def found(old, new, *others):
     routes = (RouteEvidence(route="r", old=old, new=new), *others)
     window = Window(routes=routes)
-    return judge(window, (window,))
+    return judge(failures_in(routes), window, (window,))
+
+
+def failures_in(routes):
+    """Returns the failures of routes that were counted in one interval."""
+    found = []
+    for part in routes:
+        old, new = part.old, part.new
+        total = old.failures + new.failures
+        share = new.requests / max(1, old.requests + new.requests)
+        found.append(
+            Failures(
+                route=part.route,
+                total=total,
+                new=new.failures,
+                expected=total * share,
+                evidence=part,
+            )
+        )
+    return tuple(found)
 
 
 @pytest.mark.parametrize(
@@ -41,6 +60,8 @@
         (counts(900), counts(100)),
         (counts(900), counts(100, 1)),
         (counts(900, 200), counts(100, 25)),
+        (counts(1162, 28), counts(15, 4)),
+        (counts(1509, 29), counts(36, 5)),
         (counts(900, slow_share=0.5), counts(100, slow_share=0.55)),
         (counts(0), counts(4, 2)),
         (counts(900), counts(0)),
@@ -67,12 +88,40 @@
     now = Window(
         routes=(RouteEvidence(route="r", old=counts(90), new=counts(20)),)
     )
-    assert isinstance(judge(slow, (now, slow)), Unproven)
-    assert isinstance(judge(slow, (slow,)), Bad)
+    assert isinstance(judge((), slow, (now, slow)), Unproven)
+    assert isinstance(judge((), slow, (slow,)), Bad)
 
 
 def test_wilson_interval_holds_the_share():
     for part, whole in ((0, 10), (5, 10), (10, 10), (1, 1000)):
-        low, high = wilson(part, whole)
-        assert 0 <= low <= part / whole <= high <= 1
-    assert wilson(0, 0) == (0.0, 1.0)
+        low, high = wilson(part, whole, 3.0)
+        share = pytest.approx(part / whole, abs=1e-12)
+        assert 0 <= low <= high <= 1
+        assert low < part / whole or low == share
+        assert high > part / whole or high == share
+    assert wilson(0, 0, 3.0) == (0.0, 1.0)
+
+
+def test_chance_is_the_binomial_tail():
+    assert chance_of_at_least(3, 3, 0.03) == pytest.approx(1e-6)
+    assert chance_of_at_least(0, 9, 3.0) == 1.0
+    assert chance_of_at_least(2, 2, 1.0) == pytest.approx(0.25)
+
+
+def test_peak_that_troubles_both_alike_does_not_add_up():
+    """Found on held-out moves: five good ones were taken back for a peak."""
+    ledger = Ledger("s", "1", "2", 0.0)
+    ledger.sources[("h", 1)] = {}
+    shares = ((1000, 0.01, 0.0), (1000, 0.5, 0.2), (1000, 0.01, 0.0))
+    for index, (requests, share, failing) in enumerate(shares):
+        new = round(requests * share)
+        for version, count in (("1", requests - new), ("2", new)):
+            place = (version, "r")
+            before = ledger.totals.get(place, Counts())
+            ledger.totals[place] = before.plus(
+                Counts(requests=count, failures=round(count * failing))
+            )
+        ledger.mark(5.0 * (index + 1))
+    window = Window(routes=ledger.since_step())
+    found = judge(ledger.failures(), window, ledger.recent(15.0))
+    assert isinstance(found, Unproven)
