--- a/lab/fulmarrudder_lab/cluster.py
+++ b/lab/fulmarrudder_lab/cluster.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import http.client
+import itertools
 import json
 import os
 import pathlib
@@ -17,13 +18,25 @@
 OPERATOR = "lab"
 WAIT_S = 60.0
 POLL_S = 0.05
+FIRST_PORT = 11_000
+PORT_COUNT = 20_000
+_PORTS = itertools.count(os.getpid() * 97)
 
 
 def free_port() -> int:
-    """Returns a loopback port that nothing listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a loopback port that nothing listens on.
+
+    It lies below the ports that the system gives to outgoing connections,
+    one of which could otherwise take it before its process listens.
+    """
+    while True:
+        port = FIRST_PORT + next(_PORTS) % PORT_COUNT
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 def ask(
