Changes travel as differences, summaries to the controller only

Ruled out: compressing links (the document would still be folded and kept); longer summary periods alone (69 relays would still send to each other).

Change: `Amend` tells a version by its differences from the expected one and is folded under the same rules as `Publish`; summaries go to the controller, when they change or every 4 s; questions go to the controller, while what changes something is appended by the node that is asked.

--- a/src/fulmarrudder/distribution/spread.py
+++ b/src/fulmarrudder/distribution/spread.py
@@ -263,4 +263,5 @@
 def _(fact: Summary, spreader: Spreader, origin: Origin) -> list[Link]:
     if origin is Origin.PEER:
         return []
-    return list(spreader.peers.by_node.values())
+    link = spreader.peers.by_node.get(spreader.controller())
+    return [link] if link is not None else []
--- a/src/fulmarrudder/fold/__init__.py
+++ b/src/fulmarrudder/fold/__init__.py
@@ -22,7 +22,7 @@
     move_with,
     service_named,
 )
-from fulmarrudder.fold.versions import faults_of
+from fulmarrudder.fold.versions import amended, differences, faults_of
 
 __all__ = [
     "CONTROLLER",
@@ -39,8 +39,10 @@
     "Reason",
     "Refused",
     "State",
+    "amended",
     "apply",
     "current_of",
+    "differences",
     "duty_named",
     "faults_of",
     "is_relay_of",
--- a/src/fulmarrudder/fold/apply.py
+++ b/src/fulmarrudder/fold/apply.py
@@ -17,6 +17,7 @@
 )
 from fulmarrudder.fold.state import State
 from fulmarrudder.model import (
+    Amend,
     ClaimDuty,
     CloseMove,
     EndMove,
@@ -94,6 +95,11 @@
     return versions.publish(state, body)
 
 
+@_change.register
+def _(body: Amend, state: State, offset: int) -> Result[State, Refusal]:
+    return versions.amend(state, body)
+
+
 @_change.register
 def _(body: StartMove, state: State, offset: int) -> Result[State, Refusal]:
     return moves.start(state, body, offset)
--- a/src/fulmarrudder/fold/versions.py
+++ b/src/fulmarrudder/fold/versions.py
@@ -7,7 +7,7 @@
 from fulmarrudder.fold.errors import Refusal
 from fulmarrudder.fold.outcome import Reason
 from fulmarrudder.fold.state import Current, State, current_of, move_of
-from fulmarrudder.model import Arrangement, Publish
+from fulmarrudder.model import Amend, Arrangement, Publish
 
 
 def faults_of(arrangement: Arrangement) -> tuple[str, ...]:
@@ -111,3 +111,65 @@
             currents=currents,
         )
     )
+
+
+def amend(state: State, body: Amend) -> Result[State, Refusal]:
+    """Replaces the arrangement in force by one that differs as told.
+
+    Args:
+        state: State before the record.
+        body: The operator's record.
+
+    Returns:
+        As `publish` does for the arrangement that results.
+    """
+    return publish(
+        state,
+        Publish(
+            operator=body.operator,
+            expected=body.expected,
+            arrangement=amended(state.arrangement, body),
+        ),
+    )
+
+
+def amended(arrangement: Arrangement, body: Amend) -> Arrangement:
+    """Returns an arrangement with differences applied."""
+    services = {s.name: s for s in arrangement.services}
+    routes = {r.name: r for r in arrangement.routes}
+    for name in body.dropped_services:
+        services.pop(name, None)
+    for name in body.dropped_routes:
+        routes.pop(name, None)
+    services.update({s.name: s for s in body.services})
+    routes.update({r.name: r for r in body.routes})
+    return Arrangement(
+        services=tuple(services.values()), routes=tuple(routes.values())
+    )
+
+
+def differences(
+    operator: str, expected: int, old: Arrangement, new: Arrangement
+) -> Amend:
+    """Tells a new arrangement by its differences from an old one.
+
+    Args:
+        operator: Who publishes it.
+        expected: Version that the old arrangement has.
+        old: The arrangement in force.
+        new: The arrangement wanted; its names are unique.
+    """
+    old_services = {s.name: s for s in old.services}
+    old_routes = {r.name: r for r in old.routes}
+    new_services = {s.name for s in new.services}
+    new_routes = {r.name for r in new.routes}
+    return Amend(
+        operator=operator,
+        expected=expected,
+        services=tuple(
+            s for s in new.services if old_services.get(s.name) != s
+        ),
+        routes=tuple(r for r in new.routes if old_routes.get(r.name) != r),
+        dropped_services=tuple(sorted(set(old_services) - new_services)),
+        dropped_routes=tuple(sorted(set(old_routes) - new_routes)),
+    )
--- a/src/fulmarrudder/log/border.py
+++ b/src/fulmarrudder/log/border.py
@@ -11,6 +11,7 @@
 from fulmarrudder.log.errors import DecodeError
 from fulmarrudder.log.service import RawRecord
 from fulmarrudder.model import (
+    Amend,
     Body,
     ClaimDuty,
     ClaimKey,
@@ -30,6 +31,7 @@
 
 _KINDS = Kinds(
     publish=Publish,
+    amend=Amend,
     start_move=StartMove,
     step_move=StepMove,
     end_move=EndMove,
--- a/src/fulmarrudder/model/__init__.py
+++ b/src/fulmarrudder/model/__init__.py
@@ -16,6 +16,7 @@
     order_of,
 )
 from fulmarrudder.model.record import (
+    Amend,
     Body,
     ClaimDuty,
     ClaimKey,
@@ -33,6 +34,7 @@
 )
 
 __all__ = [
+    "Amend",
     "Arrangement",
     "Body",
     "Brake",
--- a/src/fulmarrudder/model/record.py
+++ b/src/fulmarrudder/model/record.py
@@ -3,7 +3,7 @@
 import dataclasses
 import enum
 
-from fulmarrudder.model.arrangement import Arrangement
+from fulmarrudder.model.arrangement import Arrangement, Route, Service
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -15,6 +15,25 @@
     arrangement: Arrangement
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Amend:
+    """Puts a new version in place of the expected one, told by differences.
+
+    Attributes:
+        services: Services that are new or changed.
+        routes: Routes that are new or changed.
+        dropped_services: Names of services that are gone.
+        dropped_routes: Names of routes that are gone.
+    """
+
+    operator: str
+    expected: int
+    services: tuple[Service, ...] = ()
+    routes: tuple[Route, ...] = ()
+    dropped_services: tuple[str, ...] = ()
+    dropped_routes: tuple[str, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StartMove:
     """Opens a move of a service to another target version.
@@ -84,7 +103,7 @@
     expected_term: int
 
 
-Body = Publish | StartMove | StepMove | EndMove | CloseMove | ClaimDuty
+Body = Publish | Amend | StartMove | StepMove | EndMove | CloseMove | ClaimDuty
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/fulmarrudder/node/node.py
+++ b/src/fulmarrudder/node/node.py
@@ -203,7 +203,9 @@
         self._report_evidence(state)
         if not self.mesh.is_relay():
             return
-        self.mesh.spreader.tell(self.fleet.summary())
+        summary = self.fleet.next_summary()
+        if summary is not None:
+            self.mesh.spreader.tell(summary)
         self.monitor.tick()
         if self.controls():
             term = duty_named(state, CONTROLLER).term
--- a/src/fulmarrudder/operate/command.py
+++ b/src/fulmarrudder/operate/command.py
@@ -83,15 +83,12 @@
     reason: str
 
 
-Command = (
+Question = (
     ShowStatus
     | ShowNodes
     | ShowMoves
     | ShowMove
     | ShowHistory
     | ShowArrangement
-    | PublishVersion
-    | BeginMove
-    | CompleteMove
-    | TakeMoveBack
 )
+Command = Question | PublishVersion | BeginMove | CompleteMove | TakeMoveBack
--- a/src/fulmarrudder/operate/execute.py
+++ b/src/fulmarrudder/operate/execute.py
@@ -4,14 +4,19 @@
 
 from twisted.internet.defer import gatherResults
 
-from fulmarrudder.fold import Applied, Reason, Refused, move_with
+from fulmarrudder.fold import (
+    Applied,
+    Reason,
+    Refused,
+    differences,
+    move_with,
+)
 from fulmarrudder.log import UndecidedError
 from fulmarrudder.model import (
     Arrangement,
     Body,
     Decision,
     EndMove,
-    Publish,
     StartMove,
 )
 from fulmarrudder.observe import logs
@@ -180,10 +185,11 @@
                 detail="no document came with the command",
                 advice="use: fulmarrudder publish FILE --expecting N",
             )
-        body = Publish(
-            operator=operator,
-            expected=command.expected,
-            arrangement=arrangement,
+        # Differences from another version than the expected one would be
+        # refused for the version, before anyone looks at them.
+        state = self.node.holder.state
+        body = differences(
+            operator, command.expected, state.arrangement, arrangement
         )
         return await self._append(body, "published")
 
--- a/src/fulmarrudder/operate/fleet.py
+++ b/src/fulmarrudder/operate/fleet.py
@@ -15,7 +15,8 @@
 from fulmarrudder.move import Confirmation, confirm
 from fulmarrudder.observe import logs
 
-FRESH_S = 5.0
+FRESH_S = 10.0
+REPEAT_S = 4.0
 ASK_LIMIT_S = 2.0
 LAGGING_SHOWN = 10
 _HELD = pydantic.TypeAdapter(tuple[Held, ...])
@@ -60,6 +61,9 @@
         self.agent = Agent(reactor, connectTimeout=ASK_LIMIT_S, pool=pool)
         self.heard: dict[str, float] = {}
         self.sequence = 0
+        self.told: Summary | None = None
+        self.told_to = ""
+        self.repeat_at = 0.0
 
     def note(self, summary: Summary) -> None:
         """Notes that a relay was heard."""
@@ -103,6 +107,19 @@
             lagging=tuple(behind[:LAGGING_SHOWN]),
         )
 
+    def next_summary(self) -> Summary | None:
+        """Returns this relay's summary when it is news or due again."""
+        summary, now = self.summary(), self.clock.seconds()
+        controller = self.node.mesh.controller()
+        same = self.told is not None and summary == dataclasses.replace(
+            self.told, sequence=summary.sequence
+        )
+        if same and controller == self.told_to and now < self.repeat_at:
+            return None
+        self.told, self.told_to = summary, controller
+        self.repeat_at = now + REPEAT_S
+        return summary
+
     def fresh(self) -> tuple[Summary, ...]:
         """Returns the summaries that came lately."""
         oldest = self.clock.seconds() - FRESH_S
--- a/src/fulmarrudder/operate/page.py
+++ b/src/fulmarrudder/operate/page.py
@@ -12,17 +12,20 @@
 
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.distribution import relays_of
+from fulmarrudder.fold import CONTROLLER, duty_named
 from fulmarrudder.http import BytesBody
 from fulmarrudder.node.settings import Operator
 from fulmarrudder.observe import logs
 from fulmarrudder.operate.answer import ANSWERS, Answer, Denied
+from fulmarrudder.operate.command import Question
 from fulmarrudder.operate.document import read_document
 from fulmarrudder.operate.execute import Executor
 from fulmarrudder.operate.fleet import Fleet, held_json
 from fulmarrudder.operate.language import parse
 
 BODY_LIMIT = 16 * 1024 * 1024
-FORWARD_LIMIT_S = 15.0
+FORWARD_LIMIT_S = 2.0
+FORWARD_CONNECT_S = 1.0
 FORWARDED = b"fulmarrudder-forwarded"
 BEARER = b"Bearer "
 
@@ -62,8 +65,10 @@
 class CommandPage(Resource):
     """Takes operators' commands.
 
-    A node that is not a relay passes a command on to one, which knows more;
-    when none can be reached it answers from what it knows itself.
+    A node passes a question on to the controller, which hears of every data
+    centre, or else to a relay; when none can be reached it answers from what
+    it knows itself. What changes something it appends itself, so that no
+    command is ever given twice.
     """
 
     isLeaf = True  # noqa: N815
@@ -73,7 +78,7 @@
         self.node = node
         self.reactor = reactor
         self.executor = executor
-        self.agent = Agent(reactor, connectTimeout=1.0)
+        self.agent = Agent(reactor, connectTimeout=FORWARD_CONNECT_S)
 
     def render_POST(self, request):  # noqa: N802
         """Takes one command."""
@@ -130,17 +135,25 @@
                     )
                 )
             arrangement = document.ok
-        forwarded = await self._forward(request, data)
-        if forwarded is not None:
-            return 200, forwarded
+        if isinstance(parsed.ok, Question):
+            forwarded = await self._forward(request, data)
+            if forwarded is not None:
+                return 200, forwarded
         answer = await self.executor.execute(parsed.ok, operator, arrangement)
         return 200, _encoded(answer)
 
     async def _forward(self, request, data: bytes) -> bytes | None:
-        if self.node.mesh.is_relay() or request.getHeader(FORWARDED):
+        if request.getHeader(FORWARDED):
             return None
-        place = self.node.settings.data_centre
-        for duty in relays_of(self.node.holder.state, place):
+        state = self.node.holder.state
+        own = self.node.settings.admin_address
+        controller = duty_named(state, CONTROLLER)
+        knowing = [controller] if controller else []
+        if not self.node.mesh.is_relay():
+            knowing += relays_of(state, self.node.settings.data_centre)
+        for duty in knowing:
+            if duty.admin_address == own:
+                return None
             answer = await self._forward_to(duty.admin_address, request, data)
             if answer is not None:
                 return answer
--- a/tests/fold/test_versions.py
+++ b/tests/fold/test_versions.py
@@ -1,7 +1,10 @@
 """A configuration version is whole or refused, and never goes back."""
 
-from fulmarrudder.fold import Applied, Reason, Refused
-from fulmarrudder.model import Route, StartMove
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fulmarrudder.fold import Applied, Reason, Refused, amended, differences
+from fulmarrudder.model import Amend, Arrangement, Route, Service, StartMove
 from tests.conftest import publish, replace, small_arrangement
 
 
@@ -76,3 +79,37 @@
 def test_undecodable_record_is_refused_alike_everywhere(story):
     outcome = story.tell(None)
     assert outcome.reason is Reason.UNREADABLE
+
+
+@settings(derandomize=True, max_examples=100, deadline=None, database=None)
+@given(st.lists(st.integers(0, 5)), st.lists(st.integers(0, 5)))
+def test_differences_lead_to_the_same_arrangement(before, after):
+    def arrangement(numbers, mark):
+        names = sorted({f"s{n}" for n in numbers})
+        return Arrangement(
+            services=tuple(
+                Service(name=n, target_versions=("1",), initial="1")
+                for n in names
+            ),
+            routes=tuple(
+                Route(name=n, host=mark, prefix="/", service=n) for n in names
+            ),
+        )
+
+    old, new = arrangement(before, "a"), arrangement(after, "b")
+    found = amended(old, differences("ana", 0, old, new))
+    assert set(found.services) == set(new.services)
+    assert set(found.routes) == set(new.routes)
+
+
+def test_amendment_of_another_version_is_refused(story):
+    story.tell(publish())
+    wanted = differences("bor", 0, Arrangement(), small_arrangement())
+    assert story.tell(wanted).reason is Reason.STALE_VERSION
+
+
+def test_amendment_that_breaks_a_route_is_refused_whole(story):
+    story.tell(publish())
+    body = Amend(operator="bor", expected=1, dropped_services=("caja",))
+    assert story.tell(body).reason is Reason.INVALID
+    assert story.state.version == 1
