--- a/src/fulmarrudder/fold/versions.py
+++ b/src/fulmarrudder/fold/versions.py
@@ -6,7 +6,7 @@
 
 from fulmarrudder.fold.errors import Refusal
 from fulmarrudder.fold.outcome import Reason
-from fulmarrudder.fold.state import Current, State, current_of, move_of
+from fulmarrudder.fold.state import Current, State
 from fulmarrudder.model import Amend, Arrangement, Publish
 
 
@@ -61,9 +61,11 @@
                     f"service {move.service}: open move {move.id} needs"
                     f" target version {needed}"
                 )
+    currents = _currents_by_service(state)
+    moving = {move.service for move in state.moves}
     for service in arrangement.services:
-        current = current_of(state, service.name)
-        if current is None or move_of(state, service.name):
+        current = currents.get(service.name)
+        if current is None or service.name in moving:
             continue
         if current not in service.target_versions:
             faults.append(
@@ -73,6 +75,10 @@
     return faults
 
 
+def _currents_by_service(state: State) -> dict[str, str]:
+    return {c.service: c.target_version for c in state.currents}
+
+
 def publish(state: State, body: Publish) -> Result[State, Refusal]:
     """Replaces the arrangement in force as a whole, or refuses it.
 
@@ -95,10 +101,11 @@
     faults += _faults_beside(state, body.arrangement)
     if faults:
         return Error(Refusal(reason=Reason.INVALID, detail="; ".join(faults)))
+    known = _currents_by_service(state)
     currents = tuple(
         Current(
             service=s.name,
-            target_version=current_of(state, s.name) or s.initial,
+            target_version=known.get(s.name, s.initial),
         )
         for s in sorted(body.arrangement.services, key=lambda s: s.name)
     )
