A refusal brought about by a body's end no longer ends the connection bare

Cause: the process test of a request that kills targets got a closed connection in place of the second refusal. The node's log: `call` was None after the body's end had been passed on, since a refusal decided there ends the call at once.

Ruled out: the targets' deaths (the entry node had its answer).

Change: the connection holds the call while it passes the end on. A copy that waits for a claimed request's answer now answers 0.1 s before its deadline, so that the entry node passes on 409 rather than its own 504.

--- a/src/fulmarrudder/call/claims.py
+++ b/src/fulmarrudder/call/claims.py
@@ -33,6 +33,7 @@
 READ_LIMIT = 500
 SETTLED_WAIT_MS = 500
 POLL_S = 0.05
+ANSWER_BEFORE_S = 0.1
 BATCH_WINDOW_S = 0.002
 BATCH_LIMIT = 200
 RETRY_BASE_S = 0.05
@@ -183,8 +184,10 @@
     async def _of_other(self, entry: Entry, fingerprint, deadline) -> Claimed:
         if entry.fingerprint != fingerprint:
             return Reused()
-        while entry.settled is None and self.clock.seconds() < deadline:
-            if not await self._read(SETTLED_WAIT_MS):
+        until = deadline - ANSWER_BEFORE_S
+        while entry.settled is None and self.clock.seconds() < until:
+            left_ms = int((until - self.clock.seconds()) * 1000)
+            if not await self._read(min(SETTLED_WAIT_MS, left_ms)):
                 return Pending()
             if entry.settled is None:
                 await self._sleep(POLL_S, deadline)
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -188,9 +188,10 @@
             if self.call is not None:
                 self.call.body.receive_part(event.data)
         elif isinstance(event, BodyEnd):
-            if self.call is not None:
-                self.call.body.receive_end()
-                self.call.close_when_done()
+            call = self.call
+            if call is not None:
+                call.body.receive_end()
+                call.close_when_done()
         else:
             self._refuse_protocol(event)
 
--- a/tests/call/test_server.py
+++ b/tests/call/test_server.py
@@ -7,8 +7,16 @@
 from twisted.internet.testing import StringTransport
 
 from fulmarrudder.call import CallFactory, Chooser, Entry, InForce, RouteTable
+from fulmarrudder.call.message import (
+    BodyPart,
+    Framing,
+    Headers,
+    RequestHead,
+    ResponseHead,
+)
 from fulmarrudder.call.server import LINGER_S
-from fulmarrudder.model import Condition, Presence
+from fulmarrudder.call.suspects import fingerprint_of
+from fulmarrudder.model import Condition, Presence, Strike
 from fulmarrudder.observe import Metrics, Spans
 from tests.call.test_host import Scene
 from tests.conftest import Story, publish
@@ -191,10 +199,7 @@
 def test_answer_that_is_cut_off_is_never_taken_for_a_whole_one(front):
     transport = front.send(get())
     from fulmarrudder.call.message import (
-        BodyPart,
-        Framing,
         Headers,
-        ResponseHead,
     )
 
     exchange = front.pool.made[0].exchange
@@ -263,3 +268,19 @@
     front.answer(data=b"")
     status, head, body = head_of(transport)
     assert (status, body) == (200, b"")
+
+
+def test_refusal_that_the_bodys_end_brings_about_is_told(front):
+    """Found by the process test of requests that kill targets."""
+    head = RequestHead(method=b"POST", target=b"/deposits", headers=Headers(()))
+    print_ = fingerprint_of(head, b"bad")
+    for death in ("a/1", "b/1"):
+        front.facts.merge(
+            Strike(fingerprint=print_, death=death, expires=9e12), 0.0
+        )
+    post = get(b"/deposits", b"Content-Length: 3\r\n", b"POST")
+    transport = front.send(post + b"bad")
+    status, head, _ = head_of(transport)
+    assert status == 503
+    assert b"crashed-targets-before" in head
+    assert not front.pool.made
