Moves: doubt holds a share, and targets warm by requests

Ruled out: a larger chance than 1e-5 (brings back the false alarms of peaks); a longer hold for every move (good ones would be late).

Change: evidence that is unlikely by chance (1e-2) but no proof holds the share until it clears or the deadline takes the move back and says so; a target is cold for its first 20 requests or 5 s, counted from its first request.

--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -251,9 +251,7 @@
 
     def _tally(self, request: HostRequest, started: float, *, failed) -> None:
         now = self.clock.seconds()
-        cold = self.warmth.cold(
-            self.beside.latest.incarnation, now - self.beside.since
-        )
+        cold = self.warmth.cold(self.beside.latest.incarnation, now)
         self.tallies.note(
             request.service,
             request.target_version,
--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -66,14 +66,12 @@
     Attributes:
         latest: The newest announcement, or None.
         deadline: Clock seconds after which silence makes it absent.
-        since: Clock seconds since which this incarnation is ready.
     """
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.latest: Announcement | None = None
         self.deadline = 0.0
-        self.since = 0.0
 
     def take(self, announcement: Announcement) -> bool:
         """Takes an announcement in when it is the newest.
@@ -84,8 +82,6 @@
         known = self.latest
         if known is not None and _order(announcement) <= _order(known):
             return False
-        if known is None or known.incarnation != announcement.incarnation:
-            self.since = self.clock.seconds()
         self.latest = announcement
         self.deadline = self.clock.seconds() + SILENCE_S
         return True
--- a/src/fulmarrudder/move/judge.py
+++ b/src/fulmarrudder/move/judge.py
@@ -20,6 +20,7 @@
 )
 
 UNLIKELY = 1e-5
+DOUBTFUL = 1e-2
 LEAST_FAILURES = 3
 FAILURE_MARGIN = 0.01
 LATENCY_Z = 3.0
@@ -44,13 +45,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Unproven:
-    """Nothing speaks against the new version so far.
+    """Nothing has been proved against the new version so far.
 
     Attributes:
         requests: Requests that it has served at the present share.
+        doubt: What speaks against it short of proof, or empty.
     """
 
     requests: int
+    doubt: str = ""
 
 
 Finding = Bad | Unproven
@@ -69,15 +72,20 @@
     Returns:
         What is found.
     """
-    for part in (*failures, all_failures(failures)):
-        reason = _worse_failures(part)
+    parts = (*failures, all_failures(failures))
+    for part in parts:
+        reason = _worse_failures(part, UNLIKELY)
         if reason:
             return Bad(route=part.route, reason=reason)
     for part in _timed(recent):
         reason = _worse_latency(part)
         if reason:
             return Bad(route=part.route, reason=reason)
-    return Unproven(requests=whole_of(step.routes).new.requests)
+    doubts = [_worse_failures(part, DOUBTFUL) for part in parts]
+    return Unproven(
+        requests=whole_of(step.routes).new.requests,
+        doubt=next(filter(None, doubts), ""),
+    )
 
 
 def _timed(recent: tuple[Window, ...]) -> tuple[RouteEvidence, ...]:
@@ -148,7 +156,7 @@
     return min(1.0, tail)
 
 
-def _worse_failures(part: Failures) -> str:
+def _worse_failures(part: Failures, allowed: float) -> str:
     if part.new < LEAST_FAILURES:
         return ""
     old, new = part.evidence.old, part.evidence.new
@@ -156,7 +164,7 @@
     if new.failures / new.requests <= old_rate + FAILURE_MARGIN:
         return ""
     chance = chance_of_at_least(part.new, part.total, part.expected)
-    if chance > UNLIKELY:
+    if chance > allowed:
         return ""
     return (
         f"{new.failures} of {new.requests} requests failed, on the old"
--- a/src/fulmarrudder/move/schedule.py
+++ b/src/fulmarrudder/move/schedule.py
@@ -75,10 +75,13 @@
     if move.permille == 0:
         return _first(left_s)
     if left_s <= 0:
+        doubt = f"; in doubt: {finding.doubt}" if finding.doubt else ""
         return GiveUp(
             route="",
-            reason=f"deadline passed at {move.permille} permille",
+            reason=f"deadline passed at {move.permille} permille{doubt}",
         )
+    if finding.doubt:
+        return Wait(missing=f"an end to doubt: {finding.doubt}")
     hold_s = hold_for(move.permille, left_s + held_s)
     if held_s < hold_s:
         return Wait(missing=f"{hold_s - held_s:.0f} s at this share")
--- a/tests/move/test_schedule.py
+++ b/tests/move/test_schedule.py
@@ -75,3 +75,11 @@
     assert holds[0] > 3 * holds[-1]
     assert hold_for(10, 1.0) == LEAST_HOLD_S
     assert len(HOLD_WEIGHTS) == len(SHARES_PERMILLE)
+
+
+def test_doubt_holds_the_share_until_the_deadline():
+    doubtful = Unproven(requests=1000, doubt="3 of 40 failed")
+    waiting = next_action(move(500), doubtful, held_s=1e6, wall=0.0)
+    assert waiting == Wait(missing="an end to doubt: 3 of 40 failed")
+    late = next_action(move(500), doubtful, held_s=1e6, wall=1000.1)
+    assert "in doubt: 3 of 40 failed" in late.reason
