--- /dev/null
+++ b/bench/mutations.py
@@ -0,0 +1,210 @@
+"""Breaks one mechanism at a time and shows which tests notice.
+
+    python bench/mutations.py
+
+Works on a copy of the tree; docs/PROMISES.md quotes its output.
+"""
+
+import dataclasses
+import pathlib
+import shutil
+import subprocess
+import sys
+import tempfile
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+LIMIT_S = 240
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Mutation:
+    """A mechanism to break.
+
+    Attributes:
+        promise: The promise that it carries.
+        path: Module below `src/fulmarrudder`.
+        old: Text to replace.
+        new: Text that breaks it.
+        tests: Tests to run.
+    """
+
+    promise: str
+    path: str
+    old: str
+    new: str
+    tests: str
+
+
+MUTATIONS = (
+    Mutation(
+        promise="1 never older",
+        path="distribution/holder.py",
+        old="        if state.offset <= self.state.offset:\n",
+        new="        if state.offset == self.state.offset:\n",
+        tests="tests/distribution",
+    ),
+    Mutation(
+        promise="2 routes known",
+        path="fold/versions.py",
+        old="        if route.service not in known:\n",
+        new="        if False:\n",
+        tests="tests/fold",
+    ),
+    Mutation(
+        promise="3 whole or none",
+        path="fold/versions.py",
+        old="    if faults:\n        return Error",
+        new="    if False:\n        return Error",
+        tests="tests/fold",
+    ),
+    Mutation(
+        promise="4 small share: brake",
+        path="call/share.py",
+        old="braked(brakes, move, route):",
+        new="False:",
+        tests="tests/call/test_share.py tests/test_replay.py",
+    ),
+    Mutation(
+        promise="4 small share: judge",
+        path="move/judge.py",
+        old="    if part.new < LEAST_FAILURES:\n",
+        new="    if True:\n",
+        tests="tests/move tests/test_replay.py",
+    ),
+    Mutation(
+        promise="5 whole answer",
+        path="call/server.py",
+        old="        self.transport.abortConnection()\n        self._finish(False)",
+        new="        self.take_end()",
+        tests="tests/call",
+    ),
+    Mutation(
+        promise="6 not run: target's word",
+        path="call/screen.py",
+        old="    if from_target:\n",
+        new="    if False:\n",
+        tests="tests/call",
+    ),
+    Mutation(
+        promise="6 not run: after sending",
+        path="call/host.py",
+        old="        reason=RefusalReason.BROKEN,\n        ran=Ran.UNKNOWN,",
+        new="        reason=RefusalReason.BROKEN,\n        ran=Ran.NO,",
+        tests="tests/call",
+    ),
+    Mutation(
+        promise="7 at most once: first claim",
+        path="call/claimindex.py",
+        old="        if key in self.entries or claim in self.released:\n",
+        new="        if claim in self.released:\n",
+        tests="tests/call",
+    ),
+    Mutation(
+        promise="7 at most once: retries",
+        path="call/retry.py",
+        old="    return _retry_or(Next.REFUSE, attempt.repeatable, attempt)",
+        new="    return _retry_or(Next.REFUSE, True, attempt)",
+        tests="tests/call",
+    ),
+    Mutation(
+        promise="8 leaving target",
+        path="call/host.py",
+        old="        if self.leaving or condition is Condition.LEAVING:\n",
+        new="        if False:\n",
+        tests="tests/call",
+    ),
+    Mutation(
+        promise="9 graceful stop",
+        path="call/server.py",
+        old="        if self.connections or not self.leaving:\n",
+        new="        if not self.leaving:\n",
+        tests="tests/call",
+    ),
+    Mutation(
+        promise="10 in force everywhere",
+        path="distribution/mesh.py",
+        old="            self.children.send_all(self.holder.since(before))\n",
+        new="            pass\n",
+        tests="tests/distribution",
+    ),
+    Mutation(
+        promise="fencing of a paused controller",
+        path="fold/duties.py",
+        old="    if duty and term == latest:\n",
+        new="    if duty:\n",
+        tests="tests/fold tests/test_replay.py",
+    ),
+    Mutation(
+        promise="race of operators",
+        path="fold/moves.py",
+        old="    stale = fenced(state, body.term) if body.term else None\n"
+        "    if stale:\n        return Error(stale)\n"
+        "    move = move_with(state, body.move)\n"
+        "    if move is None:\n"
+        '        return _no(Reason.UNKNOWN_MOVE, f"no move {body.move}")\n'
+        "    if move.phase is not Phase.RUNNING:\n",
+        new="    move = move_with(state, body.move)\n    if False:\n",
+        tests="tests/fold tests/test_replay.py",
+    ),
+    Mutation(
+        promise="second copy of an append",
+        path="fold/apply.py",
+        old="    if record.id in state.seen:\n",
+        new="    if False:\n",
+        tests="tests/fold",
+    ),
+    Mutation(
+        promise="requests that kill targets",
+        path="call/suspects.py",
+        old="DEATHS_ALLOWED = 1",
+        new="DEATHS_ALLOWED = 9",
+        tests="tests/call",
+    ),
+)
+
+
+def play(mutation: Mutation, copy: pathlib.Path) -> str:
+    """Breaks, runs the tests, mends; returns what they said."""
+    path = copy / "src" / "fulmarrudder" / mutation.path
+    text = path.read_text()
+    if text.count(mutation.old) < 1:
+        return "NOT APPLIED: the text is not there"
+    path.write_text(text.replace(mutation.old, mutation.new))
+    try:
+        done = subprocess.run(
+            [sys.executable, "-m", "pytest", "-q", "--no-header", "-x"]
+            + mutation.tests.split(),
+            cwd=copy,
+            capture_output=True,
+            text=True,
+            timeout=LIMIT_S,
+            env={"PYTHONPATH": f"{copy / 'src'}:{copy / 'lab'}"},
+        )
+    except subprocess.TimeoutExpired:
+        return "noticed: the tests did not end"
+    finally:
+        path.write_text(text)
+    failed = [
+        line.split(" ")[1].rpartition("::")[2]
+        for line in done.stdout.splitlines()
+        if line.startswith("FAILED")
+    ]
+    return f"noticed by {failed[0]}" if failed else "NOT NOTICED"
+
+
+def main() -> int:
+    """Plays every mutation; returns 1 when one goes unnoticed."""
+    missed = 0
+    with tempfile.TemporaryDirectory() as folder:
+        copy = pathlib.Path(folder) / "tree"
+        skip = shutil.ignore_patterns(".venv", ".git", "__pycache__")
+        shutil.copytree(ROOT, copy, ignore=skip)
+        for mutation in MUTATIONS:
+            said = play(mutation, copy)
+            missed += "NOT" in said
+            print(f"{mutation.promise}: {mutation.path}: {said}", flush=True)
+    return 1 if missed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
