--- /dev/null
+++ b/tests/operate/test_document.py
@@ -0,0 +1,49 @@
+"""A bad document is refused with every fault and its path."""
+
+from fulmarrudder.node.settings import Operator
+from fulmarrudder.operate.document import read_document
+from fulmarrudder.operate.page import operator_of
+
+SERVICE = {"name": "caja", "target_versions": ["1"], "initial": "1"}
+ROUTE = {"name": "quotes", "prefix": "/quotes", "service": "caja"}
+
+
+def faults(document):
+    return "\n".join(read_document(document).error.faults)
+
+
+def test_good_document_is_read():
+    arrangement = read_document(
+        {"services": [SERVICE], "routes": [{**ROUTE, "host": "A.Example"}]}
+    ).ok
+    assert arrangement.routes[0].host == "a.example"
+
+
+def test_faults_of_form_are_listed_with_their_paths():
+    told = faults(
+        {
+            "services": [{**SERVICE, "target_versions": []}],
+            "routes": [{**ROUTE, "timeout_ms": 0, "colour": "red"}],
+        }
+    )
+    assert "services.0.target_versions" in told
+    assert "routes.0.timeout_ms" in told
+    assert "routes.0.colour" in told
+
+
+def test_faults_of_sense_are_listed_too():
+    told = faults(
+        {"services": [SERVICE], "routes": [{**ROUTE, "service": "x"}]}
+    )
+    assert told == "route quotes: no service x"
+    assert "routes" in faults({"services": []})
+
+
+def test_only_a_holder_of_an_operators_token_may_command():
+    operators = (
+        Operator(name="ana", token="a" * 16),
+        Operator(name="bor", token="b" * 16),
+    )
+    assert operator_of(b"b" * 16, operators) == "bor"
+    assert operator_of(b"", operators) == ""
+    assert operator_of(b"a" * 15, operators) == ""
