--- a/tests/distribution/test_mesh.py
+++ b/tests/distribution/test_mesh.py
@@ -229,3 +229,32 @@
     assert all(versions == sorted(versions) for versions in seen)
     states = {m.holder.state.digest for m in net.members.values()}
     assert len(states) == 1
+
+
+def test_data_centre_cut_off_keeps_its_version_and_catches_up_when_healed():
+    net = Net()
+    net.append(relay_claim(RELAY_0, "a0"))
+    net.append(relay_claim("relay/lima-2/0", "b0", "lima-2"))
+    for name, place in (
+        ("a0", "lima-1"),
+        ("a1", "lima-1"),
+        ("b0", "lima-2"),
+        ("b1", "lima-2"),
+    ):
+        net.add(name, place)
+        net.feed(name)
+    net.append(publish())
+    net.feed("a0", "b0")
+    net.run(5.0)
+    net.cut_off("lima-1", "lima-2")
+    for expected in (1, 2):
+        net.append(publish(expected=expected))
+    net.feed("a0")
+    net.run(10.0)
+    assert net.members["a1"].holder.state.version == 3
+    assert net.members["b1"].holder.state.version == 1
+    net.cut.clear()
+    net.run(10.0)
+    assert net.members["b1"].holder.state.version == 3
+    for member in net.members.values():
+        assert member.versions == sorted(member.versions)
--- /dev/null
+++ b/tests/node/test_feed.py
@@ -0,0 +1,96 @@
+"""A node finds its way after records have expired under it."""
+
+import random
+
+import pytest
+from twisted.internet.task import Clock
+
+from fulmarrudder.distribution import Holder
+from fulmarrudder.log import (
+    CONFIG,
+    SNAPSHOTS,
+    Envelope,
+    RawRecord,
+    encode,
+    encode_state,
+)
+from fulmarrudder.node.feed import Feed
+from tests.call.fakes import FakeLog
+from tests.conftest import publish
+
+COUNT = 10
+EXPIRED_TO = 6
+
+
+def holder():
+    return Holder(on_outcome=lambda o: None, on_advance=lambda b: None)
+
+
+@pytest.fixture
+def log():
+    """A log whose first records are gone and whose state was kept."""
+    made = FakeLog()
+    texts = [
+        encode(Envelope(id=f"r{i}", body=publish(expected=i)))
+        for i in range(COUNT)
+    ]
+    made.append(CONFIG, tuple(texts))
+    whole = holder()
+    whole.take_records(
+        RawRecord(offset=i, body=texts[i]) for i in range(EXPIRED_TO + 1)
+    )
+    made.append(SNAPSHOTS, (encode_state(whole.state),))
+    return made
+
+
+def run(log, held, seconds=5.0):
+    clock = Clock()
+    feed = Feed(log, clock, random.Random(1), held)
+    feed.start()
+    for _ in range(round(seconds / 0.05)):
+        clock.advance(0.05)
+    return feed
+
+
+def test_new_node_starts_from_the_snapshot_and_the_tail(log):
+    log.expire(CONFIG, EXPIRED_TO)
+    held = holder()
+    run(log, held)
+    assert held.state.version == COUNT
+    assert held.current
+
+
+def test_node_that_was_away_jumps_ahead_and_never_back(log):
+    held = holder()
+    held.take_records(
+        RawRecord(offset=i, body=log.streams[CONFIG][i]) for i in range(3)
+    )
+    log.expire(CONFIG, EXPIRED_TO)
+    run(log, held)
+    assert held.state.version == COUNT
+
+
+def test_without_a_snapshot_a_node_keeps_what_it_holds(log):
+    held = holder()
+    held.take_records(
+        RawRecord(offset=i, body=log.streams[CONFIG][i]) for i in range(3)
+    )
+    log.streams[SNAPSHOTS] = ["not a state"]
+    log.expire(CONFIG, EXPIRED_TO)
+    run(log, held)
+    assert held.state.version == 3
+
+
+def test_log_that_is_away_at_the_start_is_asked_again(log):
+    held, clock = holder(), Clock()
+    log.away = True
+    feed = Feed(log, clock, random.Random(1), held)
+    feed.start()
+    for _ in range(40):
+        clock.advance(0.05)
+    assert not held.current
+    log.away = False
+    for _ in range(80):
+        clock.advance(0.05)
+    assert held.state.version == COUNT
+    feed.stop()
