Names: a test's fingerprint, and the replay's list of events made whole

Cause: reading as a newcomer, one name needed explaining and one kind of event in the traces was not listed on its page. No behaviour changes.

Run: tests/call and tests/test_replay.py pass.

--- a/lab/fulmarrudder_lab/replay.py
+++ b/lab/fulmarrudder_lab/replay.py
@@ -6,6 +6,7 @@
 * `log-away`, `log-back`: the log answers nothing, and then again.
 * `pause`, `resume`: the controller is paused past its lease, and wakes.
 * `take-over`: another node claims the controller's duty.
+* `stale-step`: a record of an older term arrives.
 * `operator`: an operator decides (`complete` or `take-back`).
 * `peer-brake`: a brake arrives from another data centre.
 * `cut`, `heal`: a data centre is not heard, and then is.
--- a/tests/call/test_server.py
+++ b/tests/call/test_server.py
@@ -284,10 +284,10 @@
 def test_refusal_that_the_bodys_end_brings_about_is_told(front):
     """Found by the process test of requests that kill targets."""
     head = RequestHead(method=b"POST", target=b"/deposits", headers=Headers(()))
-    print_ = fingerprint_of(head, b"bad")
+    fingerprint = fingerprint_of(head, b"bad")
     for death in ("a/1", "b/1"):
         front.facts.merge(
-            Strike(fingerprint=print_, death=death, expires=9e12), 0.0
+            Strike(fingerprint=fingerprint, death=death, expires=9e12), 0.0
         )
     post = get(b"/deposits", b"Content-Length: 3\r\n", b"POST")
     transport = front.send(post + b"bad")
