--- a/src/fulmarrudder/call/choose.py
+++ b/src/fulmarrudder/call/choose.py
@@ -129,7 +129,13 @@
         self._seen(presence, now).outstanding += 1
 
     def finished(
-        self, presence: Presence, now: float, took_s: float, *, failed: bool
+        self,
+        presence: Presence,
+        now: float,
+        took_s: float,
+        *,
+        failed: bool,
+        gone: bool = False,
     ) -> None:
         """Notes that a request has ended.
 
@@ -138,6 +144,7 @@
             now: Clock seconds.
             took_s: Time that it took.
             failed: Whether the endpoint failed it.
+            gone: Whether nothing listens there, which is conclusive.
         """
         seen = self._seen(presence, now)
         seen.outstanding = max(0, seen.outstanding - 1)
@@ -146,7 +153,7 @@
             seen.ejections = 0
             seen.latency_s += EWMA_WEIGHT * (took_s - seen.latency_s)
             return
-        seen.failures += 1
+        seen.failures = EJECT_AFTER if gone else seen.failures + 1
         if seen.failures < EJECT_AFTER:
             return
         back_off = min(EJECT_LIMIT_S, EJECT_BASE_S * 2**seen.ejections)
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -262,7 +262,7 @@
         request = self._request(call, presence)
         started = self.clock.seconds()
         self.chooser.sent(presence, started)
-        failed = True
+        failed, gone = True, False
         try:
             if presence.node == self.node:
                 answer = await self.host.open(request, call.body, call.ready)
@@ -270,7 +270,9 @@
                 answer = await self._hop(request, call, presence)
             tried = _tried_from(answer)
             failed = _counts_as_failure(tried)
+            gone = _nothing_there(tried)
         except ConnectError:
+            gone = True
             tried = _Tried(ending=Declined(refusal=UNREACHABLE))
         except TimeoutError:
             tried = _Tried(ending=Late())
@@ -281,7 +283,9 @@
             raise
         finally:
             now = self.clock.seconds()
-            self.chooser.finished(presence, now, now - started, failed=failed)
+            self.chooser.finished(
+                presence, now, now - started, failed=failed, gone=gone
+            )
         return tried
 
     def _request(self, call: _Call, presence: Presence) -> HostRequest:
@@ -362,6 +366,14 @@
     return True
 
 
+def _nothing_there(tried: _Tried) -> bool:
+    ending = tried.ending
+    return isinstance(ending, Declined) and ending.refusal.reason in (
+        RefusalReason.UNREACHABLE,
+        RefusalReason.NO_TARGET,
+    )
+
+
 EJECTING_REASONS = frozenset(
     {
         RefusalReason.UNREACHABLE,
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -36,6 +36,7 @@
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.membership import Beside, FactStore
 from fulmarrudder.model import Condition, Strike
+from fulmarrudder.observe import logs
 
 FAILED_FROM = 500
 
@@ -218,6 +219,7 @@
                 address, fresh=not request.repeatable
             )
         except ConnectError:
+            self.beside.refused_connection()
             return refused(
                 not_run(RefusalReason.UNREACHABLE, "target refuses connections")
             )
@@ -236,11 +238,22 @@
                 return refused(broken("request body was cut off"))
             self._tally(request, started, failed=True)
             self._strike(request, incarnation)
+            ensureDeferred(self._probe(address))
             return refused(broken(f"target closed: {error}"))
         failed = head.status >= FAILED_FROM
         self._tally(request, started, failed=failed)
         return LiveAnswer(clean_response(head, from_target=True), exchange)
 
+    async def _probe(self, address: str) -> None:
+        # A target that has died is told from one that closed a connection
+        # by connecting again, long before its silence would tell.
+        try:
+            connection = await self.pool.take(address, fresh=True)
+        except ConnectError:
+            self.beside.refused_connection()
+            return
+        self.pool.give_back(connection)
+
     def _tally(self, request: HostRequest, started: float, *, failed) -> None:
         now = self.clock.seconds()
         cold = self.warmth.cold(self.beside.latest.incarnation, now)
@@ -254,6 +267,9 @@
 
     def _strike(self, request: HostRequest, incarnation: int) -> None:
         address = self.beside.latest.address
+        logs.warning(
+            "target-broke", request=request.fingerprint, route=request.route
+        )
         self.spread(
             Strike(
                 fingerprint=request.fingerprint,
--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -66,12 +66,14 @@
     Attributes:
         latest: The newest announcement, or None.
         deadline: Clock seconds after which silence makes it absent.
+        gone: Whether it refused connections after its latest announcement.
     """
 
     def __init__(self, clock: Clock):
         self.clock = clock
         self.latest: Announcement | None = None
         self.deadline = 0.0
+        self.gone = False
 
     def take(self, announcement: Announcement) -> bool:
         """Takes an announcement in when it is the newest.
@@ -83,13 +85,20 @@
         if known is not None and _order(announcement) <= _order(known):
             return False
         self.latest = announcement
+        self.gone = False
         self.deadline = self.clock.seconds() + SILENCE_S
         return True
 
+    def refused_connection(self) -> None:
+        """Learns that nothing listens at the target's address any more."""
+        self.gone = True
+
     @property
     def condition(self) -> Condition:
         """The target's condition, absent after silence."""
-        if self.latest is None or self.clock.seconds() > self.deadline:
+        if self.gone or self.latest is None:
+            return Condition.ABSENT
+        if self.clock.seconds() > self.deadline:
             return Condition.ABSENT
         return self.latest.condition
 
--- a/src/fulmarrudder/node/admin.py
+++ b/src/fulmarrudder/node/admin.py
@@ -85,6 +85,9 @@
             node.mesh.uplink.attached or node.mesh.is_relay()
         ),
         "fulmarrudder_brakes": len(node.facts.brakes),
+        "fulmarrudder_strikes": sum(
+            len(deaths) for deaths in node.facts.strikes.values()
+        ),
         "fulmarrudder_endpoints": sum(
             len(nodes) for nodes in node.facts.services.values()
         ),
--- a/src/fulmarrudder/node/daemon.py
+++ b/src/fulmarrudder/node/daemon.py
@@ -25,6 +25,7 @@
 BACKLOG_WAIT_S = 0.1
 BACKLOG_LIMIT_S = 30.0
 EXIT_SETTINGS = 2
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
 class Daemon:
@@ -141,19 +142,24 @@
 
     logs.setup(settings.log_level, node=settings.node)
     daemon = Daemon(settings, reactor)
-    reactor.callWhenRunning(_run, daemon, reactor)
-    reactor.run()
+    for number in STOP_SIGNALS:
+        signal.signal(
+            number,
+            lambda number, frame: reactor.callFromThread(daemon.begin_stop),
+        )
+    reactor.callWhenRunning(_run, daemon)
+    # Twisted would give the signals back when the reactor stops, and one
+    # that came again before the process ended would then cut it off.
+    reactor.run(installSignalHandlers=False)
+    for number in STOP_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
 
 
-def _run(daemon: Daemon, reactor) -> None:
+def _run(daemon: Daemon) -> None:
     daemon.start()
     # What lives this long need not be looked at by the collector again.
     gc.collect()
     gc.freeze()
-    signal.signal(
-        signal.SIGTERM,
-        lambda number, frame: reactor.callFromThread(daemon.begin_stop),
-    )
 
 
 if __name__ == "__main__":
--- a/src/fulmarrudder/observe/metrics.py
+++ b/src/fulmarrudder/observe/metrics.py
@@ -67,6 +67,9 @@
     "fulmarrudder_in_flight": _Family(Gauge, "Calls under way, by role."),
     "fulmarrudder_endpoints": _Family(Gauge, "Endpoints known."),
     "fulmarrudder_brakes": _Family(Gauge, "Brakes known."),
+    "fulmarrudder_strikes": _Family(
+        Gauge, "Deaths of targets, by the requests that they ran, known here."
+    ),
 }
 BUCKETS_S = (0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 5.0)
 
--- a/tests/call/test_choose.py
+++ b/tests/call/test_choose.py
@@ -65,6 +65,15 @@
     assert 0 <= back["bad"] < warm["bad"]
 
 
+def test_endpoint_where_nothing_listens_is_ejected_at_once():
+    """Found in CI: three dead endpoints took all attempts of a request."""
+    choosing = chooser()
+    present = (endpoint("good"), endpoint("dead"))
+    choosing.sent(present[1], 100.0)
+    choosing.finished(present[1], 100.0, 0.001, failed=True, gone=True)
+    assert set(shares(choosing, present, 100.1)) == {"good"}
+
+
 def test_when_all_are_ejected_they_are_still_tried():
     choosing = chooser()
     present = (endpoint("only"),)
