--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,73 @@
+"""Measures the processor time of calls through two nodes, without sockets.
+
+    python bench/path.py [--span-ratio 1.0] [--calls 2000]
+
+Calls run through whole nodes on the replay's network and clock: entry node,
+host node, target and caller in this process. Real sockets and the reactor are
+left out, so the figure shows what this code costs and hardly varies.
+"""
+
+import dataclasses
+import logging
+import time
+
+import click
+
+from fulmarrudder_lab.replay import Player, Trace
+from fulmarrudder_lab.replay.trace import Expected, Header, Load
+
+RATE = 100
+SETTLE_S = 1.0
+
+
+class Bench(Player):
+    """A player without a trace, whose nodes keep a share of the spans."""
+
+    def __init__(self, span_ratio: float):
+        header = Header(
+            promise="", firm="esfera", until_s=SETTLE_S, expected=Expected()
+        )
+        super().__init__(Trace(header=header, events=()))
+        for instance in self.instances.values():
+            instance.settings = dataclasses.replace(
+                instance.settings, span_ratio=span_ratio
+            )
+
+    def seconds_of(self, calls: int) -> float:
+        """Returns the processor time of a stretch with so many calls."""
+        length = max(calls, 1) / RATE
+        event = Load(
+            do="load",
+            at=0.0,
+            until=length if calls else 0.0,
+            rate=RATE,
+            path="/quotes/1",
+            through="lima-1-vitrina-0",
+        )
+        self.play(event)
+        began = time.process_time()
+        self.run_until(self.clock.now + length + SETTLE_S)
+        return time.process_time() - began
+
+
+@click.command()
+@click.option("--span-ratio", type=float, default=1.0)
+@click.option("--calls", type=int, default=2000)
+@click.option("--rounds", type=int, default=3)
+def main(span_ratio: float, calls: int, rounds: int) -> None:
+    """Measures the processor time of calls."""
+    logging.getLogger("fulmarrudder").setLevel(logging.ERROR)
+    bench = Bench(span_ratio)
+    bench.run()
+    bench.seconds_of(calls)
+    for number in range(rounds):
+        took = bench.seconds_of(calls)
+        print(
+            f"spans {span_ratio:g} round {number}:"
+            f" {took / calls * 1e6:.0f} us a call"
+        )
+    print(f"answers {dict(bench.endings())}")
+
+
+if __name__ == "__main__":
+    main()
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -1,5 +1,6 @@
 """Pipeline of an entry node: screen, route, choose, try, deliver."""
 
+import collections
 import dataclasses
 import random
 
@@ -103,6 +104,8 @@
         in_force: The arrangement that requests are routed by.
         budget: Bounds retries.
         chooser: Chooses endpoints.
+        waiting: Exchanges that may be repeated and have no answer yet, by
+            node.
     """
 
     def __init__(
@@ -130,6 +133,7 @@
         self.spans = spans
         self.metrics = metrics
         self.budget = RetryBudget()
+        self.waiting: dict[str, set] = collections.defaultdict(set)
         self.in_force = InForce()
         self.steps = (screen, self._arranged, self._match)
 
@@ -317,9 +321,12 @@
         head = traced(head, self.spans.traceparent(span))
         exchange = connection.start(head, call.body, waits=waits)
         left = max(0.0, request.deadline - now) + HOP_GRACE_S
+        if call.idempotent:
+            self.waiting[presence.node].add(exchange)
         try:
             answer_head = await exchange.begun.addTimeout(left, self.clock)
         finally:
+            self._waits_no_more(presence.node, exchange)
             self.spans.end(span, peer=presence.node, number=call.attempts)
         answer = LiveAnswer(
             clean_response(answer_head, from_target=False), exchange
@@ -332,6 +339,23 @@
         data = await collector.whole
         return WholeAnswer(answer.head, data, refusal)
 
+    def _waits_no_more(self, node: str, exchange) -> None:
+        waiting = self.waiting.get(node)
+        if waiting is None:
+            return
+        waiting.discard(exchange)
+        if not waiting:
+            del self.waiting[node]
+
+    def node_lost(self, node: str) -> None:
+        """Sends what waits for a lost node elsewhere, if it may be repeated.
+
+        Args:
+            node: Id of a node that was declared lost.
+        """
+        for exchange in self.waiting.pop(node, set()):
+            exchange.abandon()
+
     def _refusal_for(self, tried: _Tried) -> Refusal:
         ending = tried.ending
         if isinstance(ending, Declined):
--- a/src/fulmarrudder/call/upstream.py
+++ b/src/fulmarrudder/call/upstream.py
@@ -101,6 +101,11 @@
             connection.transport.abortConnection()
         self._tell_end(Ended.CANCELLED)
 
+    def abandon(self) -> None:
+        """Closes the connection, as if the other side had."""
+        if self.connection is not None:
+            self.connection.transport.abortConnection()
+
     def start_body(self) -> None:
         """Sends the body."""
         if self.body_sent or self.body is None or self.body.sink is self:
--- a/src/fulmarrudder/distribution/mesh.py
+++ b/src/fulmarrudder/distribution/mesh.py
@@ -40,6 +40,7 @@
 from fulmarrudder.observe import Metrics, logs
 
 RESYNC_JITTER_S = 0.3
+HOME_S = 5.0
 
 
 class Mesh:
@@ -52,6 +53,8 @@
         peers: Links among relays.
         spreader: Facts on all of them.
         interest: Services whose presences this node itself wants.
+        home_due: Clock seconds from which it may leave a parent below
+            another data centre's relay for one below its own.
     """
 
     def __init__(
@@ -88,6 +91,7 @@
         self.interest: frozenset[str] = frozenset()
         self.told_interest: frozenset[str] | None = frozenset()
         self.resync = None
+        self.home_due = clock.seconds() + rng.uniform(0.0, HOME_S)
         self.uplink = Uplink(
             clock=clock,
             rng=rng,
@@ -168,6 +172,8 @@
         if not relay and not self.uplink.wanted:
             self.uplink.start()
             self._tell_path()
+        if not relay:
+            self._go_home()
         self.peers.reconcile(all_relays(self.holder.state), relay=relay)
 
     def want(self, services: frozenset[str]) -> None:
@@ -238,9 +244,26 @@
 
     def _candidates(self) -> tuple[str, ...]:
         relays = relays_of(self.holder.state, self.data_centre)
-        addresses = {duty.mesh_address for duty in relays} | set(self.seeds)
-        addresses.discard(self.mesh_address)
-        return tuple(sorted(addresses))
+        near = {duty.mesh_address for duty in relays} - {self.mesh_address}
+        far = set(self.seeds) - near - {self.mesh_address}
+        return (*self._shuffled(near), *self._shuffled(far))
+
+    def _shuffled(self, addresses: set[str]) -> list[str]:
+        return self.rng.sample(sorted(addresses), len(addresses))
+
+    def _go_home(self) -> None:
+        # A node that started before its data centre had a relay may hang
+        # below another one's, which a cut between the two would take away.
+        relays = relays_of(self.holder.state, self.data_centre)
+        if not relays or not self.uplink.attached:
+            return
+        roots = {node_of(duty.holder) for duty in relays}
+        now = self.clock.seconds()
+        if self.uplink.path[0] in roots:
+            self.home_due = now + self.rng.uniform(HOME_S, 2 * HOME_S)
+        elif now >= self.home_due:
+            self.home_due = now + self.rng.uniform(HOME_S, 2 * HOME_S)
+            self.uplink.move()
 
     def _path_changed(self) -> None:
         self._tell_path()
--- a/src/fulmarrudder/distribution/spread.py
+++ b/src/fulmarrudder/distribution/spread.py
@@ -137,7 +137,8 @@
             if isinstance(fact, URGENT):
                 yield fact
             elif isinstance(fact, Presence):
-                if fact.data_centre == self.data_centre:
+                below = self.via.get(fact.node) in self.children.by_link
+                if below or fact.data_centre == self.data_centre:
                     yield fact
 
     def link_gone(self, link: Link) -> None:
@@ -165,7 +166,7 @@
     def _note_via(self, fact: Fact, link: Link, origin: Origin) -> None:
         if not isinstance(fact, Presence) or origin is Origin.ABOVE:
             return
-        if fact.data_centre != self.data_centre:
+        if origin is Origin.PEER and fact.data_centre != self.data_centre:
             return
         known = self.facts.presence_of(fact.node)
         if known is None or order_of(fact) >= order_of(known):
--- a/src/fulmarrudder/distribution/uplink.py
+++ b/src/fulmarrudder/distribution/uplink.py
@@ -83,6 +83,11 @@
         if link is not None:
             link.close()
 
+    def move(self) -> None:
+        """Leaves the parent and asks the best candidates again."""
+        self.queue.clear()
+        self._drop()
+
     def send(self, message: Message) -> None:
         """Sends a message to the parent, if there is one."""
         if self.placed and self.link is not None:
@@ -153,9 +158,7 @@
         if not self.wanted or self.link is not None:
             return
         if not self.queue:
-            found = list(self.candidates())
-            self.rng.shuffle(found)
-            self.queue.extend(found)
+            self.queue.extend(self.candidates())
         if not self.queue:
             self._schedule(self.backoff.next_delay())
             return
--- a/src/fulmarrudder/node/daemon.py
+++ b/src/fulmarrudder/node/daemon.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import LoopingCall
 
 from fulmarrudder import __version__
-from fulmarrudder.log import HttpLogService
+from fulmarrudder.log import HttpLogService, LogService
 from fulmarrudder.node.admin import admin_site
 from fulmarrudder.node.node import Node, new_incarnation
 from fulmarrudder.node.settings import Settings, load_settings
@@ -36,16 +36,23 @@
         stopping: Whether a stop is under way.
     """
 
-    def __init__(self, settings: Settings, reactor):
+    def __init__(
+        self,
+        settings: Settings,
+        reactor,
+        *,
+        log: LogService,
+        rng: random.Random,
+        incarnation: int,
+    ):
         self.settings = settings
         self.reactor = reactor
-        log = HttpLogService(reactor, settings.log_url)
         self.node = Node(
             settings,
             reactor=reactor,
             log=log,
-            rng=random.Random(),
-            incarnation=new_incarnation(),
+            rng=rng,
+            incarnation=incarnation,
         )
         self.stopping = False
         self.call_port = None
@@ -141,7 +148,13 @@
     from twisted.internet import reactor
 
     logs.setup(settings.log_level, node=settings.node)
-    daemon = Daemon(settings, reactor)
+    daemon = Daemon(
+        settings,
+        reactor,
+        log=HttpLogService(reactor, settings.log_url),
+        rng=random.Random(),
+        incarnation=new_incarnation(),
+    )
     for number in STOP_SIGNALS:
         signal.signal(
             number,
--- a/src/fulmarrudder/node/node.py
+++ b/src/fulmarrudder/node/node.py
@@ -354,7 +354,11 @@
             self.fleet.note(fact)
         if isinstance(fact, Evidence):
             self.monitor.take(fact)
-        if not isinstance(fact, Presence) or fact.node != self.settings.node:
+        if not isinstance(fact, Presence):
+            return
+        if fact.condition is Condition.LOST:
+            self.entry.node_lost(fact.node)
+        if fact.node != self.settings.node:
             return
         if fact is self.shown or fact.incarnation < self.incarnation:
             return
--- a/tests/distribution/test_mesh.py
+++ b/tests/distribution/test_mesh.py
@@ -231,6 +231,46 @@
     assert len(states) == 1
 
 
+def test_node_leaves_another_data_centres_tree_once_its_own_has_a_relay():
+    """Found by a replayed cut: nodes stayed below the relay of their seed."""
+    net = Net()
+    net.append(relay_claim("relay/lima-2/0", "b0", "lima-2"))
+    net.add("b0", "lima-2")
+    net.feed("b0")
+    for name in ("a0", "a1"):
+        net.add(name, "lima-1").mesh.seeds = ("b0",)
+    net.run(2.0)
+    mesh = net.members["a1"].mesh
+    mesh.on_place = lambda: mesh.spreader.tell(presence("a1", 2))
+    assert mesh.position().path == ("b0",)
+    net.append(relay_claim(RELAY_0, "a0"))
+    net.feed("a0", "b0")
+    net.run(12.0)
+    assert net.members["a1"].mesh.position().path == ("a0",)
+    known = net.members["a0"].facts.endpoints_of("caja")
+    assert [found.node for found in known] == ["a1"]
+
+
+def test_relay_tells_peers_of_nodes_below_it_from_elsewhere():
+    net = Net()
+    net.append(relay_claim("relay/lima-2/0", "b0", "lima-2"))
+    for name, place in (("b0", "lima-2"), ("c0", "lima-3")):
+        net.add(name, place)
+        net.feed(name)
+    net.add("a1", "lima-1").mesh.seeds = ("b0",)
+    net.run(2.0)
+    net.members["a1"].mesh.spreader.tell(presence("a1"))
+    net.run(1.0)
+    net.append(relay_claim("relay/lima-3/0", "c0", "lima-3"))
+    net.feed("b0", "c0")
+    net.run(8.0)
+    known = net.members["c0"].facts.endpoints_of("caja")
+    assert [found.node for found in known] == ["a1"]
+    net.kill("a1")
+    net.run(8.0)
+    assert net.members["c0"].facts.endpoints_of("caja") == ()
+
+
 def test_data_centre_cut_off_keeps_its_version_and_catches_up_when_healed():
     net = Net()
     net.append(relay_claim(RELAY_0, "a0"))
--- /dev/null
+++ b/tests/test_firms.py
@@ -0,0 +1,96 @@
+"""Recorded traces of whole firms end as they state, and keep the promises."""
+
+import pathlib
+
+import pytest
+
+from fulmarrudder.fold import EMPTY, Refused, apply
+from fulmarrudder.log import CONFIG, RawRecord, record_from
+from fulmarrudder_lab.replay import Player, read_trace
+
+TRACES = sorted(
+    (pathlib.Path(__file__).parent / "traces" / "firms").glob("*.jsonl")
+)
+
+
+def told(sent):
+    """Returns how a request ended, as traces write it."""
+    if sent.lost:
+        return "lost"
+    return f"{sent.status} {sent.ran}".strip()
+
+
+def refused_by(player):
+    """Returns why the fold refuses what operators wrote."""
+    state, reasons = EMPTY, []
+    for offset, body in enumerate(player.platform.streams[CONFIG]):
+        folded = apply(state, record_from(RawRecord(offset=offset, body=body)))
+        state, outcome = folded.state, folded.outcome
+        if isinstance(outcome, Refused) and outcome.id.startswith("operator"):
+            reasons.append(outcome.reason.value)
+    return tuple(reasons)
+
+
+def check_expected(player, expected):
+    """Checks what the trace states."""
+    for instance in player.instances.values():
+        if instance.running:
+            assert instance.versions[-1][-1] == expected.version, instance.name
+    assert refused_by(player) == expected.refused
+    answers = {name: told(player.sent[name]) for name in expected.answers}
+    assert answers == expected.answers
+    runs = {name: player.runs_of(name) for name in expected.runs}
+    assert runs == expected.runs
+    ended = player.endings()
+    assert ended[200] >= expected.loaded * len(player.load), ended
+    assert ended[500] + ended[502] <= expected.failures, ended
+
+
+def check_quiet(player, expected):
+    """Checks that targets which leave get no new work."""
+    if not expected.quiet:
+        return
+    quiet = {i.name for i in player.fitting(expected.quiet)}
+    late = [
+        run
+        for run in player.runs
+        if run.node in quiet
+        and run.request.startswith("load")
+        and run.at > player.ready_s + expected.quiet_from
+    ]
+    assert late == []
+
+
+def check_promises(player):
+    """Checks what must hold in every trace."""
+    for instance in player.instances.values():
+        for versions in instance.versions:
+            assert versions == sorted(versions), instance.name
+    for sent in (*player.sent.values(), *player.load):
+        assert sent.whole or sent.lost, sent
+        if sent.ran == "no":
+            assert player.runs_of(sent.name) == 0, sent
+        if sent.whole and not sent.reason:
+            assert sent.told_size == sent.size
+            assert player.same_request(sent.request, sent.name), sent
+    for key, names in player.names_by_key().items():
+        assert sum(player.runs_of(name) for name in names) <= 1, key
+
+
+@pytest.mark.parametrize("path", TRACES, ids=lambda path: path.stem)
+def test_firm_keeps_its_promises(path):
+    player = Player(read_trace(path))
+    player.run()
+    check_expected(player, player.trace.header.expected)
+    check_quiet(player, player.trace.header.expected)
+    check_promises(player)
+
+
+def test_replay_is_the_same_each_time():
+    path = TRACES[0]
+    ends = []
+    for _ in range(2):
+        player = Player(read_trace(path))
+        player.run()
+        ends.append([(run.request, run.node, run.at) for run in player.runs])
+    assert ends[0] == ends[1]
--- a/tests/test_replay.py
+++ b/tests/test_replay.py
@@ -7,7 +7,9 @@
 from fulmarrudder.fold import Phase
 from fulmarrudder_lab.replay import Replay
 
-TRACES = sorted((pathlib.Path(__file__).parent / "traces").glob("*.jsonl"))
+TRACES = sorted(
+    (pathlib.Path(__file__).parent / "traces" / "moves").glob("*.jsonl")
+)
 
 
 @pytest.mark.parametrize("path", TRACES, ids=lambda path: path.stem)
