--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -129,14 +129,14 @@
     ),
     Mutation(
         promise="6 not run: any attempt",
-        path="call/entry.py",
-        old="    if refusal.ran is Ran.NO and call.may_have_run:\n",
+        path="call/ending.py",
+        old="    if refusal.ran is Ran.NO and ran_before:\n",
         new="    if False:\n",
         tests="tests/test_firms.py",
     ),
     Mutation(
         promise="5 whole answer: frozen node",
-        path="call/entry.py",
+        path="call/sender.py",
         old="            exchange.abandon()\n",
         new="            pass\n",
         tests="tests/test_firms.py",
--- a/lab/fulmarrudder_lab/replay/player.py
+++ b/lab/fulmarrudder_lab/replay/player.py
@@ -2,28 +2,24 @@
 
 import collections
 import fnmatch
-import random
 from functools import singledispatchmethod
 
 from fulmarrudder.call.message import Framing, Headers, RequestHead
 from fulmarrudder.fold import CONTROLLER, duty_named
 from fulmarrudder.log import CONFIG, Envelope, encode
-from fulmarrudder.membership import Announcement
-from fulmarrudder.model import Amend, Condition, Publish, Route
-from fulmarrudder.node import Settings
-from fulmarrudder.node.daemon import Daemon
+from fulmarrudder.model import Amend, Publish, Route
 from fulmarrudder.operate.document import read_document
 from fulmarrudder_lab.firms import ESFERA, POZARNIK, arrangement_of
 from fulmarrudder_lab.replay.clock import ReplayClock
+from fulmarrudder_lab.replay.instance import CALL, Instance
 from fulmarrudder_lab.replay.network import Network, Seat
-from fulmarrudder_lab.replay.platform import Platform, PlatformLog
+from fulmarrudder_lab.replay.platform import Platform
 from fulmarrudder_lab.replay.target import (
     ID_FIELD,
     Behaviour,
     Caller,
     Run,
     Sent,
-    Target,
 )
 from fulmarrudder_lab.replay.trace import (
     Behave,
@@ -40,98 +36,19 @@
 FIRMS = {"esfera": ESFERA, "pozarnik": POZARNIK}
 FAR_S = 0.001
 READY_S = 12.0
-ANNOUNCE_S = 1.0
 LOOK_S = 0.05
 RUNNER = "runner of "
-CALL, MESH, ADMIN, TARGET = 7100, 7101, 7102, 7200
-SEEDS = tuple(f"10.0.0.{number}:{MESH}" for number in (1, 2, 3))
 
 
-class Instance:
-    """An instance of the firm: a target and the node in its slot.
-
-    Attributes:
-        settings: Settings that its node is started with.
-        versions: Versions seen in force, by start of the node.
-    """
-
-    def __init__(self, player: "Player", name: str, place: str, size, host):
-        self.player = player
-        self.name = name
-        self.place = place
-        self.size = size
-        self.host = host
-        player.network.places[host] = place
-        self.starts = 0
-        self.versions: list[list[int]] = []
-        self.announced = 0
-        self.condition = Condition.READY
-        self.settings = _settings(name, place, host)
-        self.seat: Seat | None = None
-        self.daemon: Daemon | None = None
-        self.target: Target | None = None
-
-    def start(self) -> None:
-        """Starts the node, and the target unless it runs."""
-        self.starts += 1
-        self.versions.append([])
-        player = self.player
-        self.seat = Seat(player.network, self.host, self.place)
-        self.daemon = Daemon(
-            self.settings,
-            self.seat,
-            log=PlatformLog(player.platform, self.seat),
-            rng=random.Random(f"{player.seed} {self.name} {self.starts}"),
-            incarnation=self.starts,
-        )
-        self.daemon.start()
-        if self.target is None or self.target.seat.dead:
-            self.start_target()
-        self._announce(self.starts)
-
-    def start_target(self) -> None:
-        """Starts the target."""
-        seat = Seat(self.player.network, self.host, self.place)
-        self.target = Target(seat, self.name, TARGET, self.player.runs)
-        self.condition = Condition.READY
-
-    def leave(self) -> None:
-        """Lets the target announce that it leaves."""
-        self.condition = Condition.LEAVING
-        self._tell()
-
-    def _announce(self, start: int) -> None:
-        if start != self.starts:
-            return
-        if not self.target.seat.dead and not self.target.seat.frozen:
-            self._tell()
-        self.seat.callLater(ANNOUNCE_S, self._announce, start)
-
-    def _tell(self) -> None:
-        self.announced += 1
-        self.daemon.node.announced(
-            Announcement(
-                service=self.size.name,
-                target_version="1",
-                address=f"{self.host}:{TARGET}",
-                incarnation=1,
-                sequence=self.announced,
-                condition=self.condition,
-                slots=self.size.slots,
-                connections=self.size.connections,
-            )
-        )
-
-    @property
-    def running(self) -> bool:
-        """Whether the node runs."""
-        return self.seat is not None and not self.seat.dead
-
-    def look(self) -> None:
-        """Notes the version that the node has in force."""
-        state = self.daemon.node.entry.in_force.state
-        if self.running and state is not None:
-            self.versions[-1].append(state.version)
+PROCESS = {
+    "kill": Instance.end,
+    "kill-node": Instance.end_node,
+    "start": Instance.start,
+    "stop": Instance.stop,
+    "freeze": Instance.freeze,
+    "wake": Instance.wake,
+    "leave": Instance.leave,
+}
 
 
 class Player:
@@ -262,7 +179,7 @@
     @play.register
     def _(self, event: Process) -> None:
         for instance in self.fitting(event.who):
-            _PROCESS[event.do](instance)
+            PROCESS[event.do](instance)
 
     @play.register
     def _(self, event: Behave) -> None:
@@ -361,24 +278,6 @@
         )
 
 
-def _settings(name: str, place: str, host: str) -> Settings:
-    return Settings(
-        node=name,
-        data_centre=place,
-        call_address=f"{host}:{CALL}",
-        mesh_address=f"{host}:{MESH}",
-        admin_address=f"{host}:{ADMIN}",
-        log_url="http://platform",
-        seeds=SEEDS,
-        mesh_token="token-of-the-replay",
-        operators=(),
-        relays=1,
-        degree=16,
-        span_ratio=0.0,
-        log_level="warning",
-    )
-
-
 class _CallerFactory:
     """Makes one caller's connection."""
 
@@ -396,23 +295,3 @@
     def clientConnectionFailed(self, connector, reason):  # noqa: N802
         """Notes that nothing was sent."""
         self.sent.lost = True
-
-
-def _freeze(instance: Instance) -> None:
-    instance.seat.frozen = True
-
-
-def _kill(instance: Instance) -> None:
-    instance.seat.stop()
-    instance.target.seat.stop()
-
-
-_PROCESS = {
-    "kill": _kill,
-    "kill-node": lambda instance: instance.seat.stop(),
-    "start": Instance.start,
-    "stop": lambda instance: instance.daemon.begin_stop(),
-    "freeze": _freeze,
-    "wake": lambda instance: instance.seat.wake(),
-    "leave": Instance.leave,
-}
--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -14,6 +14,7 @@
     ROUTE_HEADER,
     TARGET_HEADER,
     TIME_LEFT_HEADER,
+    Headers,
     Ran,
     Refusal,
     RefusalReason,
@@ -56,6 +57,15 @@
     return request.head.with_headers(headers)
 
 
+def traced(head: RequestHead, traceparent: bytes | None) -> RequestHead:
+    """Returns a head that names a span in its W3C field."""
+    if traceparent is None:
+        return head
+    fields = tuple(f for f in head.headers.fields if f[0] != b"traceparent")
+    headers = Headers((*fields, (b"traceparent", traceparent)))
+    return head.with_headers(headers)
+
+
 def host_request(head: RequestHead, now: float) -> HostRequest | Refusal:
     """Reads the request that a hop's head carries.
 
--- a/src/fulmarrudder/call/retry.py
+++ b/src/fulmarrudder/call/retry.py
@@ -4,7 +4,14 @@
 import enum
 from functools import singledispatch
 
-from fulmarrudder.call.message import Ran, Refusal, RefusalReason
+from fulmarrudder.call.ending import (
+    Answered,
+    Broken,
+    Declined,
+    Ending,
+    Late,
+)
+from fulmarrudder.call.message import Ran, RefusalReason
 
 MOST_ATTEMPTS = 3
 BUDGET_RATIO = 0.1
@@ -20,33 +27,6 @@
     REFUSE = "refuse"
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Answered:
-    """The target answered."""
-
-    status: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Declined:
-    """The node beside the target, or this one, refused."""
-
-    refusal: Refusal
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Broken:
-    """The connection was lost after the request was sent."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Late:
-    """The deadline passed before an answer."""
-
-
-Ending = Answered | Declined | Broken | Late
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Attempt:
     """What is known when an attempt has ended.
--- /dev/null
+++ b/src/fulmarrudder/call/sender.py
@@ -0,0 +1,118 @@
+"""Filter: sends a call to the node beside a target, and waits for its answer."""
+
+import collections
+from collections.abc import Callable
+
+from fulmarrudder.call.answer import Answer, WholeAnswer
+from fulmarrudder.call.body import KEEP_BYTES
+from fulmarrudder.call.choose import Chooser
+from fulmarrudder.call.collect import Collector
+from fulmarrudder.call.hop import hop_head, refusal_of
+from fulmarrudder.call.host import LiveAnswer
+from fulmarrudder.call.message import Framing, ResponseHead
+from fulmarrudder.call.plan import Call
+from fulmarrudder.call.screen import clean_response
+from fulmarrudder.call.upstream import Exchange, Pool
+from fulmarrudder.clock import Clock
+from fulmarrudder.model import Presence
+
+HOP_GRACE_S = 0.25
+REFUSAL_BYTES = 65_536
+
+
+class Sender:
+    """Sends calls to other nodes.
+
+    A node that is frozen, or cut off without its connections being closed,
+    would hold a call until its deadline. What may be repeated is given up
+    when its answer is late or its node is lost, if it may go elsewhere.
+
+    Attributes:
+        waiting: Exchanges that may be repeated and have no answer yet, with
+            their calls, by node.
+        may_go_elsewhere: Tells whether a call has an attempt and another
+            endpoint left.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        pool: Pool,
+        token: bytes,
+        chooser: Chooser,
+        may_go_elsewhere: Callable[[Call], bool],
+    ):
+        self.clock = clock
+        self.pool = pool
+        self.token = token
+        self.chooser = chooser
+        self.may_go_elsewhere = may_go_elsewhere
+        self.waiting: dict[str, dict[Exchange, Call]] = collections.defaultdict(
+            dict
+        )
+
+    async def send(self, call: Call, presence: Presence) -> Answer:
+        """Sends a call to a node.
+
+        Raises:
+            CallError: There was no answer.
+            TimeoutError: The deadline passed.
+        """
+        connection = await self.pool.take(
+            presence.call_address, fresh=not call.idempotent
+        )
+        now = self.clock.seconds()
+        waits = call.head.framing is Framing.CHUNKED or (
+            call.head.length > KEEP_BYTES
+        )
+        request = call.request_to(presence)
+        head = hop_head(request, self.token, now, waits=waits)
+        exchange = connection.start(head, call.body, waits=waits)
+        if call.idempotent:
+            answer_head = await self._with_patience(exchange, call, presence)
+        else:
+            answer_head = await self._until_deadline(exchange, call)
+        answer = LiveAnswer(
+            clean_response(answer_head, from_target=False), exchange
+        )
+        refusal = refusal_of(answer_head)
+        if refusal is None:
+            return answer
+        collector = Collector(REFUSAL_BYTES)
+        answer.stream_to(collector)
+        data = await collector.whole
+        return WholeAnswer(answer.head, data, refusal)
+
+    def node_lost(self, node: str) -> None:
+        """Gives up what waits for a node that was declared lost."""
+        for exchange, call in tuple(self.waiting.get(node, {}).items()):
+            self._give_up(exchange, call)
+
+    def _until_deadline(self, exchange: Exchange, call: Call):
+        left = max(0.0, call.deadline - self.clock.seconds()) + HOP_GRACE_S
+        return exchange.begun.addTimeout(left, self.clock)
+
+    async def _with_patience(
+        self, exchange: Exchange, call: Call, presence: Presence
+    ) -> ResponseHead:
+        late = self.clock.callLater(
+            self.chooser.patience(presence), self._give_up, exchange, call
+        )
+        self.waiting[presence.node][exchange] = call
+        try:
+            return await self._until_deadline(exchange, call)
+        finally:
+            self._forget(presence.node, exchange)
+            if late.active():
+                late.cancel()
+
+    def _give_up(self, exchange: Exchange, call: Call) -> None:
+        if self.may_go_elsewhere(call):
+            exchange.abandon()
+
+    def _forget(self, node: str, exchange: Exchange) -> None:
+        waiting = self.waiting[node]
+        waiting.pop(exchange, None)
+        if not waiting:
+            del self.waiting[node]
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -10,8 +10,7 @@
     encode_part,
     encode_response,
 )
-from fulmarrudder.call.entry import traced
-from fulmarrudder.call.hop import host_request
+from fulmarrudder.call.hop import host_request, traced
 from fulmarrudder.call.message import (
     PEER_HEADER,
     Framing,
--- a/src/fulmarrudder/node/node.py
+++ b/src/fulmarrudder/node/node.py
@@ -357,7 +357,7 @@
         if not isinstance(fact, Presence):
             return
         if fact.condition is Condition.LOST:
-            self.entry.node_lost(fact.node)
+            self.entry.sender.node_lost(fact.node)
         if fact.node != self.settings.node:
             return
         if fact is self.shown or fact.incarnation < self.incarnation:
--- /dev/null
+++ b/tests/call/test_ending.py
@@ -0,0 +1,54 @@
+"""What an attempt's ending says of its endpoint and of its request."""
+
+import pytest
+
+from fulmarrudder.call.ending import (
+    Answered,
+    Broken,
+    Declined,
+    Late,
+    counts_as_failure,
+    may_have_run,
+    nothing_there,
+    refusal_for,
+    truthful,
+)
+from fulmarrudder.call.message import Ran, Refusal, RefusalReason
+
+
+def declined(reason, ran=Ran.NO):
+    return Declined(refusal=Refusal(status=503, reason=reason, ran=ran))
+
+
+@pytest.mark.parametrize(
+    ("ending", "blamed", "absent", "ran"),
+    [
+        (Answered(status=200), False, False, True),
+        (Answered(status=500), True, False, True),
+        (Broken(), True, False, True),
+        (Late(), True, False, True),
+        (declined(RefusalReason.UNREACHABLE), True, True, False),
+        (declined(RefusalReason.NO_TARGET), True, True, False),
+        (declined(RefusalReason.OVERLOADED), False, False, False),
+        (declined(RefusalReason.LEAVING), False, False, False),
+        (declined(RefusalReason.BROKEN, Ran.UNKNOWN), True, False, True),
+    ],
+)
+def test_ending_tells_of_endpoint_and_request(ending, blamed, absent, ran):
+    assert counts_as_failure(ending) is blamed
+    assert nothing_there(ending) is absent
+    assert may_have_run(ending) is ran
+
+
+def test_refusal_says_what_became_of_the_request():
+    assert refusal_for(Broken()).ran is Ran.UNKNOWN
+    assert refusal_for(Late()).ran is Ran.UNKNOWN
+    ending = declined(RefusalReason.LEAVING)
+    assert refusal_for(ending) is ending.refusal
+
+
+def test_refusal_is_not_run_only_if_no_attempt_may_have_run():
+    """Drawn seed 33: the last attempt had not run, an earlier one had."""
+    refusal = declined(RefusalReason.NO_TARGET).refusal
+    assert truthful(refusal, ran_before=False).ran is Ran.NO
+    assert truthful(refusal, ran_before=True).ran is Ran.UNKNOWN
--- a/tests/call/test_retry.py
+++ b/tests/call/test_retry.py
@@ -2,15 +2,12 @@
 
 import pytest
 
+from fulmarrudder.call.ending import Answered, Broken, Declined, Late
 from fulmarrudder.call.message import Ran, Refusal, RefusalReason
 from fulmarrudder.call.retry import (
     BUDGET_LIMIT,
     MOST_ATTEMPTS,
-    Answered,
     Attempt,
-    Broken,
-    Declined,
-    Late,
     Next,
     RetryBudget,
     next_after,
--- /dev/null
+++ b/tests/call/test_sender.py
@@ -0,0 +1,103 @@
+"""Calls that may be repeated do not wait for a node that does not answer."""
+
+import random
+
+import pytest
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock
+
+from fulmarrudder.call.body import RequestBody
+from fulmarrudder.call.choose import PATIENCE_LEAST_S, Chooser
+from fulmarrudder.call.errors import CallError
+from fulmarrudder.call.message import Headers, RequestHead
+from fulmarrudder.call.plan import Call
+from fulmarrudder.call.sender import Sender
+from fulmarrudder.model import Condition, Presence, Route
+from tests.call.fakes import FakeSource, result_of
+from tests.call.test_host import FakePool
+
+PRESENCE = Presence(
+    node="n2",
+    incarnation=1,
+    sequence=1,
+    data_centre="lima-1",
+    call_address="a:1",
+    mesh_address="a:2",
+    service="caja",
+    target_version="1",
+    condition=Condition.READY,
+    slots=2,
+)
+
+
+class Scene:
+    """A sender with its fakes."""
+
+    def __init__(self, elsewhere=True):
+        self.clock = Clock()
+        self.pool = FakePool()
+        self.sender = Sender(
+            clock=self.clock,
+            pool=self.pool,
+            token=b"t" * 16,
+            chooser=Chooser("lima-1", random.Random(1)),
+            may_go_elsewhere=lambda call: elsewhere,
+        )
+
+    def send(self, idempotent=True):
+        call = Call(
+            head=RequestHead(
+                method=b"GET", target=b"/quotes", headers=Headers()
+            ),
+            route=Route(name="r", host="", prefix="/", service="caja"),
+            body=RequestBody(FakeSource()),
+            ready=lambda: None,
+            deadline=10.0,
+            idempotent=idempotent,
+            key="",
+        )
+        return ensureDeferred(self.sender.send(call, PRESENCE))
+
+    def given_up(self):
+        connection = self.pool.made[-1]
+        if connection.transport.aborted:
+            connection.exchange.lost()
+        return connection.transport.aborted
+
+
+def test_late_answer_is_given_up():
+    scene = Scene()
+    sending = scene.send()
+    scene.clock.advance(PATIENCE_LEAST_S - 0.01)
+    assert not scene.given_up()
+    scene.clock.advance(0.02)
+    assert scene.given_up()
+    with pytest.raises(CallError):
+        result_of(sending)
+    assert not scene.sender.waiting
+
+
+def test_lost_node_is_given_up_at_once():
+    scene = Scene()
+    sending = scene.send()
+    scene.sender.node_lost("n3")
+    assert not scene.given_up()
+    scene.sender.node_lost("n2")
+    assert scene.given_up()
+    with pytest.raises(CallError):
+        result_of(sending)
+
+
+@pytest.mark.parametrize(
+    ("elsewhere", "idempotent"), [(False, True), (True, False)]
+)
+def test_what_has_nowhere_to_go_or_may_not_be_repeated_waits(
+    elsewhere, idempotent
+):
+    scene = Scene(elsewhere)
+    sending = scene.send(idempotent)
+    scene.sender.node_lost("n2")
+    scene.clock.advance(5.0)
+    assert not scene.given_up()
+    sending.addErrback(lambda failure: None)
+    sending.cancel()
