Moves through whole nodes in the replay; steward and fleet take what they need

Cause: moves were replayed on a model only, and `node/steward.py` and `operate/fleet.py` reached into the node. Change: a trace may name a moving service, whose second version has as many targets; the controller's wall clock is given from outside, so that it runs on the replay's time. Steward and fleet get their collaborators by name.

--- a/bench/mutations.py
+++ b/bench/mutations.py
@@ -158,8 +158,8 @@
     Mutation(
         promise="10 in force: own relay, claimed",
         path="node/steward.py",
-        old="        return duty == CONTROLLER or duty.startswith",
-        new="        return True or duty.startswith",
+        old="if k.data_centre == place]",
+        new="]",
         tests="tests/test_firms.py",
     ),
     Mutation(
--- a/lab/fulmarrudder_lab/replay/instance.py
+++ b/lab/fulmarrudder_lab/replay/instance.py
@@ -7,6 +7,7 @@
 from fulmarrudder.model import Condition
 from fulmarrudder.node import Settings
 from fulmarrudder.node.daemon import Daemon
+from fulmarrudder_lab.firms import ServiceSize
 from fulmarrudder_lab.replay.network import Network, Seat
 from fulmarrudder_lab.replay.platform import Platform, PlatformLog
 from fulmarrudder_lab.replay.target import Run, Target
@@ -40,11 +41,21 @@
         versions: Versions seen in force, by start of the node.
     """
 
-    def __init__(self, stage: "Stage", name: str, place: str, size, host):
+    def __init__(
+        self,
+        stage: "Stage",
+        name: str,
+        place: str,
+        size: ServiceSize,
+        host: str,
+        *,
+        version: str,
+    ):
         self.stage = stage
         self.name = name
         self.place = place
         self.size = size
+        self.version = version
         self.host = host
         stage.network.places[host] = place
         self.starts = 0
@@ -68,6 +79,7 @@
             log=PlatformLog(stage.platform, self.seat),
             rng=random.Random(f"{stage.seed} {self.name} {self.starts}"),
             incarnation=self.starts,
+            wall=self.seat.seconds,
         )
         self.daemon.start()
         if self.target is None or self.target.seat.dead:
@@ -97,7 +109,7 @@
         self.daemon.node.announced(
             Announcement(
                 service=self.size.name,
-                target_version="1",
+                target_version=self.version,
                 address=f"{self.host}:{TARGET}",
                 incarnation=1,
                 sequence=self.announced,
--- a/lab/fulmarrudder_lab/replay/player.py
+++ b/lab/fulmarrudder_lab/replay/player.py
@@ -7,9 +7,14 @@
 from fulmarrudder.call.message import Framing, Headers, RequestHead
 from fulmarrudder.fold import CONTROLLER, duty_named
 from fulmarrudder.log import CONFIG, Envelope, encode
-from fulmarrudder.model import Amend, Publish, Route
+from fulmarrudder.model import Amend, Publish, Route, StartMove
 from fulmarrudder.operate.document import read_document
-from fulmarrudder_lab.firms import ESFERA, POZARNIK, arrangement_of
+from fulmarrudder_lab.firms import (
+    ESFERA,
+    POZARNIK,
+    ServiceSize,
+    arrangement_of,
+)
 from fulmarrudder_lab.replay.clock import ReplayClock
 from fulmarrudder_lab.replay.instance import CALL, Instance
 from fulmarrudder_lab.replay.network import Network, Seat
@@ -28,6 +33,7 @@
     Heal,
     Load,
     Log,
+    Move,
     Process,
     Send,
     Trace,
@@ -38,6 +44,7 @@
 READY_S = 12.0
 LOOK_S = 0.05
 RUNNER = "runner of "
+MOVE = "move-1"
 
 
 PROCESS = {
@@ -60,6 +67,7 @@
         load: Requests of the load, in order.
         runs: Requests that targets began.
         ready_s: When the trace's own time begins.
+        moved_at: When the move was started.
     """
 
     def __init__(self, trace: Trace):
@@ -75,24 +83,33 @@
         self.sent: dict[str, Sent] = {}
         self.load: list[Sent] = []
         self.written = 0
+        self.moved_at = 0.0
         self.callers = Seat(self.network, "callers", "callers")
         self._add_instances()
 
     def _add_instances(self) -> None:
-        places = self.firm.data_centres
         for size in self.firm.services:
-            for index in range(size.targets):
-                place = places[index % len(places)]
-                name = f"{place}-{size.name}-{index}"
-                host = f"10.0.0.{len(self.instances) + 1}"
-                self.instances[name] = Instance(self, name, place, size, host)
+            self._add_targets(size, "1", size.name)
+        for size in self.firm.services:
+            if size.name == self.trace.header.moving:
+                self._add_targets(size, "2", f"{size.name}-v2")
+
+    def _add_targets(self, size: ServiceSize, version: str, stem: str) -> None:
+        places = self.firm.data_centres
+        for index in range(size.targets):
+            place = places[index % len(places)]
+            name = f"{place}-{stem}-{index}"
+            host = f"10.0.0.{len(self.instances) + 1}"
+            self.instances[name] = Instance(
+                self, name, place, size, host, version=version
+            )
 
     def run(self) -> None:
         """Plays the trace to its end."""
         for instance in self.instances.values():
             instance.start()
-        document = arrangement_of(self.firm, ("1",))
-        arrangement = read_document(document).ok
+        versions = ("1", "2") if self.trace.header.moving else ("1",)
+        arrangement = read_document(arrangement_of(self.firm, versions)).ok
         self.write(Publish(operator="ana", expected=0, arrangement=arrangement))
         self.run_until(READY_S)
         for event in self.trace.events:
@@ -160,6 +177,19 @@
         )
         self.write(body)
 
+    @play.register
+    def _(self, event: Move) -> None:
+        self.moved_at = self.clock.now
+        body = StartMove(
+            move=MOVE,
+            operator="ana",
+            service=self.trace.header.moving,
+            to_version="2",
+            expected=1,
+            deadline=self.clock.now + event.within_s,
+        )
+        self.write(body)
+
     @play.register
     def _(self, event: Log) -> None:
         self.platform.away = event.away
@@ -254,6 +284,17 @@
         """Counts how often targets began a request."""
         return sum(run.request == request for run in self.runs)
 
+    def exposure(self) -> float:
+        """Returns the share of the moved service that its new version got."""
+        service = self.trace.header.moving
+        versions = [
+            self.instances[run.node].version
+            for run in self.runs
+            if run.at >= self.moved_at
+            and self.instances[run.node].size.name == service
+        ]
+        return versions.count("2") / max(1, len(versions))
+
     def names_by_key(self) -> dict[str, list[str]]:
         """Returns names of requests by their idempotency key."""
         found = collections.defaultdict(list)
--- a/lab/fulmarrudder_lab/replay/trace.py
+++ b/lab/fulmarrudder_lab/replay/trace.py
@@ -127,7 +127,16 @@
     through: str = "*"
 
 
-Event = Change | Log | Cut | Heal | Process | Behave | Send | Load
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Move(_Strict):
+    """An operator starts a move of the trace's moving service."""
+
+    do: Literal["move"]
+    at: float
+    within_s: float
+
+
+Event = Move | Change | Log | Cut | Heal | Process | Behave | Send | Load
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -142,6 +151,9 @@
         loaded: Least share of the load's requests answered 200.
         failures: Most answers of 500 and more among the load's requests.
         quiet: Pattern of targets that begin no load after `quiet_from`.
+        phase: Phase of the move at the end, empty without one.
+        exposure_below: Share of the moving service's requests, from the
+            start of the move, that its new version gets less than.
     """
 
     version: int = 1
@@ -152,17 +164,24 @@
     failures: int = 0
     quiet: str = ""
     quiet_from: float = 0.0
+    phase: str = ""
+    exposure_below: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Header(_Strict):
-    """The first line of a trace."""
+    """The first line of a trace.
+
+    Attributes:
+        moving: Service that has targets of version 2 as well, or empty.
+    """
 
     promise: str
     firm: Literal["esfera", "pozarnik"]
     until_s: float
     expected: Expected
     seed: int = 1
+    moving: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/fulmarrudder/node/daemon.py
+++ b/src/fulmarrudder/node/daemon.py
@@ -5,12 +5,14 @@
 import random
 import signal
 import sys
+from collections.abc import Callable
 
 import click
 from twisted.internet.defer import Deferred, inlineCallbacks
 from twisted.internet.task import LoopingCall
 
 from fulmarrudder import __version__
+from fulmarrudder.clock import wall_seconds
 from fulmarrudder.log import HttpLogService, LogService
 from fulmarrudder.node.admin import admin_site
 from fulmarrudder.node.node import Node, new_incarnation
@@ -44,6 +46,7 @@
         log: LogService,
         rng: random.Random,
         incarnation: int,
+        wall: Callable[[], float] = wall_seconds,
     ):
         self.settings = settings
         self.reactor = reactor
@@ -53,6 +56,7 @@
             log=log,
             rng=rng,
             incarnation=incarnation,
+            wall=wall,
         )
         self.stopping = False
         self.call_port = None
--- a/src/fulmarrudder/node/node.py
+++ b/src/fulmarrudder/node/node.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 import uuid
+from collections.abc import Callable
 
 from fulmarrudder.call import (
     CallFactory,
@@ -78,6 +79,7 @@
         log: LogService,
         rng: random.Random,
         incarnation: int,
+        wall: Callable[[], float] = wall_seconds,
     ):
         self.settings = settings
         self.clock: Clock = reactor
@@ -148,14 +150,33 @@
             spans=self.spans,
             metrics=self.metrics,
         )
-        self.fleet = Fleet(self, reactor, reactor)
+        self.fleet = Fleet(
+            reactor=reactor,
+            clock=reactor,
+            settings=settings,
+            incarnation=incarnation,
+            holder=self.holder,
+            mesh=self.mesh,
+            facts=self.facts,
+        )
         self.monitor = Monitor(reactor, self.facts, self.mesh.spreader.tell)
         self.controller = Controller(
-            reactor, self.monitor, self._append, self.fleet.confirmed
+            reactor, self.monitor, self._append, self.fleet.confirmed, wall
         )
         self.snapshots = Snapshots(log, reactor)
         self.evidence_count = 0
-        self.steward = Steward(self)
+        self.steward = Steward(
+            clock=reactor,
+            rng=rng,
+            settings=settings,
+            holder_id=self.holder_id,
+            holder=self.holder,
+            mesh=self.mesh,
+            feed=self.feed,
+            watch=self.watch,
+            is_leaving=lambda: self.host.leaving,
+            submit=self.submit,
+        )
         self.shown: Presence | None = None
         self.table_of = None
 
--- a/src/fulmarrudder/operate/fleet.py
+++ b/src/fulmarrudder/operate/fleet.py
@@ -9,10 +9,12 @@
 from twisted.web.http_headers import Headers
 
 from fulmarrudder.clock import Clock
-from fulmarrudder.distribution import all_relays
+from fulmarrudder.distribution import Holder, Mesh, all_relays
 from fulmarrudder.fold import Duty
+from fulmarrudder.membership import FactStore
 from fulmarrudder.model import Condition, Held, Summary
 from fulmarrudder.move import Confirmation, confirm
+from fulmarrudder.node.settings import Settings
 from fulmarrudder.observe import logs
 
 FRESH_S = 10.0
@@ -53,10 +55,24 @@
         heard: Clock seconds at which each relay's summary last came.
     """
 
-    def __init__(self, node, reactor, clock: Clock):
+    def __init__(
+        self,
+        *,
+        reactor,
+        clock: Clock,
+        settings: Settings,
+        incarnation: int,
+        holder: Holder,
+        mesh: Mesh,
+        facts: FactStore,
+    ):
         pool = HTTPConnectionPool(reactor, persistent=True)
-        self.node = node
         self.clock = clock
+        self.settings = settings
+        self.incarnation = incarnation
+        self.holder = holder
+        self.mesh = mesh
+        self.facts = facts
         self.reactor = reactor
         self.agent = Agent(reactor, connectTimeout=ASK_LIMIT_S, pool=pool)
         self.heard: dict[str, float] = {}
@@ -71,18 +87,17 @@
 
     def held_here(self) -> tuple[Held, ...]:
         """Returns what the nodes of this relay hold, and itself."""
-        node = self.node
-        via = node.mesh.spreader.via
-        peers = set(node.mesh.peers.by_node.values())
+        via = self.mesh.spreader.via
+        peers = set(self.mesh.peers.by_node.values())
         found = []
-        for held in node.facts.all_of(Held):
-            if held.node == node.settings.node:
+        for held in self.facts.all_of(Held):
+            if held.node == self.settings.node:
                 found.append(held)
                 continue
-            presence = node.facts.presence_of(held.node)
+            presence = self.facts.presence_of(held.node)
             if presence is None or presence.condition is Condition.LOST:
                 continue
-            if presence.data_centre != node.settings.data_centre:
+            if presence.data_centre != self.settings.data_centre:
                 continue
             if via.get(held.node) not in peers:
                 found.append(held)
@@ -90,15 +105,15 @@
 
     def summary(self) -> Summary:
         """Makes this relay's summary."""
-        node, state = self.node, self.node.holder.state
+        state = self.holder.state
         held = self.held_here()
         behind = [h for h in held if h.offset < state.offset]
         lowest = min(held, key=lambda h: h.offset, default=None)
         self.sequence += 1
         return Summary(
-            relay=node.settings.node,
-            data_centre=node.settings.data_centre,
-            incarnation=node.incarnation,
+            relay=self.settings.node,
+            data_centre=self.settings.data_centre,
+            incarnation=self.incarnation,
             sequence=self.sequence,
             nodes=len(held),
             offset=lowest.offset if lowest else state.offset,
@@ -110,7 +125,7 @@
     def next_summary(self) -> Summary | None:
         """Returns this relay's summary when it is news or due again."""
         summary, now = self.summary(), self.clock.seconds()
-        controller = self.node.mesh.controller()
+        controller = self.mesh.controller()
         same = self.told is not None and summary == dataclasses.replace(
             self.told, sequence=summary.sequence
         )
@@ -125,19 +140,19 @@
         oldest = self.clock.seconds() - FRESH_S
         return tuple(
             s
-            for s in self.node.facts.all_of(Summary)
+            for s in self.facts.all_of(Summary)
             if self.heard.get(s.relay, oldest) > oldest
         )
 
     def confirmed(self, offset: int) -> Confirmation:
         """Tells where a record is in force."""
-        relays = all_relays(self.node.holder.state)
+        relays = all_relays(self.holder.state)
         places = frozenset(duty.data_centre for duty in relays)
         return confirm(offset, places, self.fresh())
 
     def data_centres(self) -> tuple[DataCentreView, ...]:
         """Returns every data centre as it was last heard."""
-        relays = all_relays(self.node.holder.state)
+        relays = all_relays(self.holder.state)
         names = {duty.data_centre for duty in relays}
         fresh = self.fresh()
         names |= {summary.data_centre for summary in fresh}
@@ -153,13 +168,13 @@
             Deferreds of `RelayReply`; none fails.
         """
         asked = []
-        for duty in all_relays(self.node.holder.state):
+        for duty in all_relays(self.holder.state):
             if data_centre in ("", duty.data_centre):
                 asked.append(ensureDeferred(self._ask(duty)))
         return asked
 
     async def _ask(self, duty: Duty) -> RelayReply:
-        token = self.node.settings.mesh_token
+        token = self.settings.mesh_token
         headers = Headers({"authorization": [f"Bearer {token}"]})
         url = f"http://{duty.admin_address}/v1/held".encode()
         try:
--- a/tests/test_firms.py
+++ b/tests/test_firms.py
@@ -61,12 +61,23 @@
     assert late == []
 
 
+def check_move(player, expected):
+    """Checks how the move ended, and what its new version got."""
+    if not expected.phase:
+        return
+    state, _ = folded(player)
+    moves = (*state.moves, *state.history)
+    assert [move.phase.value for move in moves] == [expected.phase]
+    assert player.exposure() < expected.exposure_below
+
+
 @pytest.mark.parametrize("path", TRACES, ids=lambda path: path.stem)
 def test_firm_keeps_its_promises(path):
     player = Player(read_trace(path))
     player.run()
     check_expected(player, player.trace.header.expected)
     check_quiet(player, player.trace.header.expected)
+    check_move(player, player.trace.header.expected)
     assert broken_promises(player) == ()
 
 
