--- a/lab/fulmarrudder_lab/replay/instance.py
+++ b/lab/fulmarrudder_lab/replay/instance.py
@@ -13,6 +13,7 @@
 from fulmarrudder_lab.replay.target import Run, Target
 
 ANNOUNCE_S = 1.0
+RELAYS = 2
 CALL, MESH, ADMIN, TARGET = 7100, 7101, 7102, 7200
 SEEDS = tuple(f"10.0.0.{number}:{MESH}" for number in (1, 2, 3))
 
@@ -163,7 +164,7 @@
         seeds=SEEDS,
         mesh_token="token-of-the-replay",
         operators=(),
-        relays=1,
+        relays=RELAYS,
         degree=16,
         span_ratio=0.0,
         log_level="warning",
--- a/lab/fulmarrudder_lab/replay/promises.py
+++ b/lab/fulmarrudder_lab/replay/promises.py
@@ -11,6 +11,7 @@
     relay_duty,
 )
 from fulmarrudder.log import CONFIG, RawRecord, record_from
+from fulmarrudder_lab.replay.instance import RELAYS
 from fulmarrudder_lab.replay.player import Player
 from fulmarrudder_lab.replay.target import Sent
 
@@ -48,13 +49,14 @@
     state, _ = folded(player)
     running = [one for one in player.instances.values() if one.running]
     for place in sorted({one.place for one in running}):
-        duty = duty_named(state, relay_duty(place, 0))
-        if duty is None:
-            yield f"{place} has no relay"
-            continue
-        holder = player.instances[duty.holder.partition("/")[0]]
-        if holder.place != place or not holder.running:
-            yield f"{place} has {holder.name} for a relay"
+        for slot in range(RELAYS):
+            duty = duty_named(state, relay_duty(place, slot))
+            if duty is None:
+                yield f"{place} lacks relay {slot}"
+                continue
+            holder = player.instances[duty.holder.partition("/")[0]]
+            if holder.place != place or not holder.running:
+                yield f"{place} has {holder.name} for relay {slot}"
 
 
 def _keys(player: Player) -> Iterator[str]:
--- a/src/fulmarrudder/node/node.py
+++ b/src/fulmarrudder/node/node.py
@@ -222,7 +222,7 @@
             term = duty_named(state, CONTROLLER).term
             self.controller.tick(state, term)
             self.snapshots.tick(state)
-        self._catch_up_from_peers(state)
+        self._catch_up_from_peers()
 
     def _report_evidence(self, state: State) -> None:
         latest = self.beside.latest
@@ -238,13 +238,11 @@
             )
         )
 
-    def _catch_up_from_peers(self, state: State) -> None:
-        if self.feed.available:
-            return
-        for summary in self.fleet.fresh():
-            if summary.relay_offset > state.offset:
-                self.mesh.ask_peer(summary.relay)
-                return
+    def _catch_up_from_peers(self) -> None:
+        # The log may be away, or may have forgotten what this node lacks.
+        peers = tuple(self.mesh.peers.by_node)
+        if peers and not self.feed.available:
+            self.mesh.ask_peer(self.rng.choice(peers))
 
     def _append(self, body):
         appending = self.submit(body, limit_s=APPEND_LIMIT_S)
