--- a/bench/moves.py
+++ b/bench/moves.py
@@ -1,6 +1,8 @@
 """Measures verdicts on moves: good in time, bad taken back.
 
-python bench/moves.py
+    python bench/moves.py [--first 0] [--per-kind 6] [--verbose]
+
+Other numbers than the first ones draw moves that nothing was tuned on.
 """
 
 import concurrent.futures
@@ -10,12 +12,14 @@
 import statistics
 import sys
 
+import click
+
 sys.path.insert(0, str(pathlib.Path(__file__).parent))
 
 from baselines import play_baseline  # noqa: E402
 from fulmarrudder.fold import Phase  # noqa: E402
 from fulmarrudder_lab.moves import Played, Scenario, Stage  # noqa: E402
-from fulmarrudder_lab.scenarios import FIRMS, mix  # noqa: E402
+from fulmarrudder_lab.scenarios import FIRMS, PER_KIND, mix  # noqa: E402
 
 DONE = frozenset({Phase.COMPLETING, Phase.COMPLETED})
 BACK = frozenset({Phase.TAKING_BACK, Phase.TAKEN_BACK})
@@ -81,11 +85,15 @@
     )
 
 
-def main() -> None:
+@click.command()
+@click.option("--first", type=int, default=0)
+@click.option("--per-kind", type=int, default=PER_KIND)
+@click.option("--verbose", is_flag=True)
+def main(first: int, per_kind: int, verbose: bool) -> None:
     """Plays every firm's mix, beside the baseline, and prints a table."""
     with concurrent.futures.ProcessPoolExecutor(max_workers=5) as pool:
         for firm in FIRMS:
-            scenarios = mix(firm)
+            scenarios = mix(firm, per_kind, first=first)
             for name, player in (
                 ("product", play),
                 ("baseline", play_baseline),
@@ -94,7 +102,7 @@
                 shares = dataclasses.asdict(shares_of(played))
                 print(f"{firm} {name}: {len(played)} moves")
                 print(json.dumps(shares, indent=1))
-                if "-v" in sys.argv:
+                if verbose:
                     for p in played:
                         print(
                             f"  {p.scenario.name:30} {p.phase.value:12}"
--- a/lab/fulmarrudder_lab/replay/player.py
+++ b/lab/fulmarrudder_lab/replay/player.py
@@ -230,9 +230,7 @@
         self.sent[event.name] = sent
         caller = self._call(sent, through, event)
         if event.give_up_s:
-            self.callers.callLater(
-                event.give_up_s, lambda: caller.transport.abortConnection()
-            )
+            self.callers.callLater(event.give_up_s, caller.give_up)
 
     @play.register
     def _(self, event: Load) -> None:
--- a/lab/fulmarrudder_lab/replay/target.py
+++ b/lab/fulmarrudder_lab/replay/target.py
@@ -191,6 +191,11 @@
             delay = self.over_s * index / pieces
             self.seat.callLater(delay, self.transport.write, piece)
 
+    def give_up(self) -> None:
+        """Hangs up, if there is a connection."""
+        if self.transport is not None:
+            self.transport.abortConnection()
+
     def dataReceived(self, data):  # noqa: N802
         """Notes the answer."""
         for event in self.decoder.feed(data):
--- a/lab/fulmarrudder_lab/scenarios.py
+++ b/lab/fulmarrudder_lab/scenarios.py
@@ -12,17 +12,20 @@
 }
 
 
-def mix(firm: str, per_kind: int = PER_KIND) -> list[Scenario]:
+def mix(
+    firm: str, per_kind: int = PER_KIND, *, first: int = 0
+) -> list[Scenario]:
     """Returns a firm's mix: every kind, `per_kind` times.
 
     Args:
         firm: Name of the firm.
         per_kind: Moves of each kind.
+        first: Number of the first; other numbers draw other moves.
     """
     rate, targets, slots = FIRMS[firm]
     scenarios = []
     for kind in Kind:
-        for index in range(per_kind):
+        for index in range(first, first + per_kind):
             seed = index * 101 + len(firm)
             rng = random.Random(f"{firm}/{kind.value}/{seed}")
             fails, slows = _badness(kind, rng)
