Replay and benches start a node in one place; the mesh tests' two places too

Change: `start_daemon` serves the replay's instances and `bench/roles.py`; two mesh tests share a builder. Ruled out: joining the two firms' tables and the facts' views, alike in shape only.

--- a/bench/roles.py
+++ b/bench/roles.py
@@ -9,7 +9,6 @@
 
 import dataclasses
 import logging
-import random
 
 import click
 
@@ -19,11 +18,13 @@
 from fulmarrudder.node import Settings
 from fulmarrudder.node.daemon import Daemon
 from fulmarrudder_lab.replay.clock import ReplayClock
+from fulmarrudder_lab.replay.instance import start_daemon
 from fulmarrudder_lab.replay.network import Network, Seat
-from fulmarrudder_lab.replay.platform import Platform, PlatformLog
+from fulmarrudder_lab.replay.platform import Platform
 from slopes import arrangement, row
 
 FAR_S = 0.001
+SEED = 1
 SETTLE_S = 12.0
 QUIET_S = 20.0
 CHANGES = 10
@@ -62,14 +63,13 @@
         """Starts the node."""
         self.starts += 1
         self.seat = Seat(self.grid.network, self.host, self.place)
-        self.daemon = Daemon(
+        self.daemon = start_daemon(
             self.settings,
             self.seat,
-            log=PlatformLog(self.grid.platform, self.seat),
-            rng=random.Random(f"{self.settings.node} {self.starts}"),
-            incarnation=self.starts,
+            self.grid.platform,
+            start=self.starts,
+            seed=SEED,
         )
-        self.seat.run(self.daemon.start)
 
     @property
     def version(self) -> int:
--- a/lab/fulmarrudder_lab/replay/instance.py
+++ b/lab/fulmarrudder_lab/replay/instance.py
@@ -34,6 +34,30 @@
     runs: list[Run]
 
 
+def start_daemon(
+    settings: Settings, seat: Seat, platform: Platform, *, start: int, seed: int
+) -> Daemon:
+    """Starts a node on a seat.
+
+    Args:
+        settings: Its settings.
+        seat: What it sees as its reactor.
+        platform: Keeps the log.
+        start: How many times it has been started, its incarnation.
+        seed: Seeds its randomness, with its name and start.
+    """
+    daemon = Daemon(
+        settings,
+        seat,
+        log=PlatformLog(platform, seat),
+        rng=random.Random(f"{seed} {settings.node} {start}"),
+        incarnation=start,
+        wall=seat.seconds,
+    )
+    seat.run(daemon.start)
+    return daemon
+
+
 class Instance:
     """An instance of the firm: a target and the node in its slot.
 
@@ -74,15 +98,13 @@
         self.versions.append([])
         stage = self.stage
         self.seat = Seat(stage.network, self.host, self.place)
-        self.daemon = Daemon(
+        self.daemon = start_daemon(
             self.settings,
             self.seat,
-            log=PlatformLog(stage.platform, self.seat),
-            rng=random.Random(f"{stage.seed} {self.name} {self.starts}"),
-            incarnation=self.starts,
-            wall=self.seat.seconds,
+            stage.platform,
+            start=self.starts,
+            seed=stage.seed,
         )
-        self.daemon.start()
         if self.target is None or self.target.seat.dead:
             self.start_target()
         self._announce(self.starts)
--- a/tests/distribution/test_mesh.py
+++ b/tests/distribution/test_mesh.py
@@ -35,6 +35,22 @@
     return net
 
 
+def two_places():
+    """Returns a net of two data centres with a relay and a node each."""
+    net = Net()
+    net.append(relay_claim(RELAY_0, "a0"))
+    net.append(relay_claim("relay/lima-2/0", "b0", "lima-2"))
+    for name, place in (
+        ("a0", "lima-1"),
+        ("a1", "lima-1"),
+        ("b0", "lima-2"),
+        ("b1", "lima-2"),
+    ):
+        net.add(name, place)
+        net.feed(name)
+    return net
+
+
 def offsets(net):
     return {m.holder.state.offset for m in net.members.values()}
 
@@ -181,17 +197,7 @@
 
 
 def test_brake_crosses_data_centres_without_the_log():
-    net = Net()
-    net.append(relay_claim(RELAY_0, "a0"))
-    net.append(relay_claim("relay/lima-2/0", "b0", "lima-2"))
-    for name, place in (
-        ("a0", "lima-1"),
-        ("a1", "lima-1"),
-        ("b0", "lima-2"),
-        ("b1", "lima-2"),
-    ):
-        net.add(name, place)
-        net.feed(name)
+    net = two_places()
     net.run(5.0)
     brake = Brake(
         move="m", service="caja", target_version="2", route="", reason="r"
@@ -299,17 +305,7 @@
 
 
 def test_data_centre_cut_off_keeps_its_version_and_catches_up_when_healed():
-    net = Net()
-    net.append(relay_claim(RELAY_0, "a0"))
-    net.append(relay_claim("relay/lima-2/0", "b0", "lima-2"))
-    for name, place in (
-        ("a0", "lima-1"),
-        ("a1", "lima-1"),
-        ("b0", "lima-2"),
-        ("b1", "lima-2"),
-    ):
-        net.add(name, place)
-        net.feed(name)
+    net = two_places()
     net.append(publish())
     net.feed("a0", "b0")
     net.run(5.0)
