--- a/lab/fulmarrudder_lab/replay/network.py
+++ b/lab/fulmarrudder_lab/replay/network.py
@@ -71,7 +71,9 @@
 
     def stopListening(self):  # noqa: N802
         """Stops listening."""
-        self.seat.network.listening.pop(self.address, None)
+        listening = self.seat.network.listening
+        if listening.get(self.address) is self:
+            del listening[self.address]
         return succeed(None)
 
 
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -22,6 +22,7 @@
     Mine,
 )
 from fulmarrudder.call.collect import Collector
+from fulmarrudder.call.ending import FAILED_FROM
 from fulmarrudder.call.errors import CallError, ConnectError, SlotError
 from fulmarrudder.call.message import (
     Framing,
@@ -44,8 +45,6 @@
 from fulmarrudder.model import Condition, Strike
 from fulmarrudder.observe import logs
 
-FAILED_FROM = 500
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HostRequest:
