--- a/lab/fulmarrudder_lab/moves.py
+++ b/lab/fulmarrudder_lab/moves.py
@@ -345,7 +345,7 @@
         versions = versions_for(
             self.holder.state, SERVICE, route, self.facts.brakes, self.rng
         )
-        self.service.serve(versions[0], route, now, permille)
+        self.service.serve(versions[0].only, route, now, permille)
 
     def _report(self) -> None:
         for (version, index), tallies in self.service.tallies.items():
--- a/src/fulmarrudder/call/__init__.py
+++ b/src/fulmarrudder/call/__init__.py
@@ -5,22 +5,34 @@
 claims, `upstream` to the target.
 """
 
+from fulmarrudder.call.body import RequestBody
 from fulmarrudder.call.choose import Chooser
+from fulmarrudder.call.collect import Collector
+from fulmarrudder.call.dialect import OWN, Dialect
 from fulmarrudder.call.entry import Entry, InForce
 from fulmarrudder.call.errors import CallError
 from fulmarrudder.call.host import Host
+from fulmarrudder.call.message import Framing, Headers, RequestHead
 from fulmarrudder.call.route import RouteTable, reachable
 from fulmarrudder.call.server import CallFactory
-from fulmarrudder.call.upstream import Pool
+from fulmarrudder.call.upstream import Connection, Pool
 
 __all__ = [
     "CallError",
     "CallFactory",
     "Chooser",
+    "Collector",
+    "Connection",
+    "Dialect",
     "Entry",
+    "Framing",
+    "Headers",
     "Host",
     "InForce",
+    "OWN",
     "Pool",
+    "RequestBody",
+    "RequestHead",
     "RouteTable",
     "reachable",
 ]
--- a/src/fulmarrudder/call/choose.py
+++ b/src/fulmarrudder/call/choose.py
@@ -16,6 +16,8 @@
 EJECT_LIMIT_S = 30.0
 RAMP_S = 5.0
 RAMP_FLOOR = 0.1
+# What an endpoint told of its load says nothing any more after this long.
+LOAD_FADES_S = 0.5
 PATIENCE_LEAST_S = 1.0
 PATIENCE_FACTOR = 20.0
 
@@ -31,6 +33,8 @@
         failures: Failures in a row.
         ejections: Ejections in a row.
         ejected_until: Clock seconds.
+        load: Requests that ran or waited there when it last told.
+        told: Clock seconds at which it did.
     """
 
     since: float
@@ -39,6 +43,14 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
+    load: int = 0
+    told: float = 0.0
+
+    def occupancy(self, now: float) -> float:
+        """Returns how many requests are likely to run or wait there."""
+        age = now - self.told
+        told = self.load * max(0.0, 1.0 - age / LOAD_FADES_S)
+        return max(told, self.outstanding)
 
 
 class Chooser:
@@ -57,7 +69,7 @@
     def choose(
         self,
         present: tuple[Presence, ...],
-        version: str,
+        version: str | None,
         now: float,
         excluded: frozenset[str] = frozenset(),
     ) -> Presence | None:
@@ -65,7 +77,7 @@
 
         Args:
             present: Endpoints of the service.
-            version: Target version wanted.
+            version: Target version wanted, or None for any.
             now: Clock seconds.
             excluded: Node ids already tried.
 
@@ -88,7 +100,7 @@
         for presence in present:
             if presence.condition is not Condition.READY:
                 continue
-            if presence.target_version != version:
+            if version is not None and presence.target_version != version:
                 continue
             if presence.node in excluded:
                 continue
@@ -107,7 +119,8 @@
         return seen
 
     def _has_room(self, presence: Presence, now: float) -> bool:
-        return self._seen(presence, now).outstanding < max(1, presence.slots)
+        occupancy = self._seen(presence, now).occupancy(now)
+        return occupancy < max(1, presence.slots)
 
     def _better_of_two(self, among: list[Presence], now: float):
         if not among:
@@ -123,9 +136,21 @@
         seen = self._seen(presence, now)
         age = now - seen.since
         warmth = min(1.0, max(RAMP_FLOOR, age / RAMP_S))
-        load = (seen.outstanding + 1) / max(1, presence.slots)
+        load = (seen.occupancy(now) + 1) / max(1, presence.slots)
         return seen.latency_s * load / warmth
 
+    def told(self, presence: Presence, now: float, load: int) -> None:
+        """Notes how busy an endpoint said that it was.
+
+        Args:
+            presence: The endpoint.
+            now: Clock seconds.
+            load: Requests that ran or waited there.
+        """
+        seen = self._seen(presence, now)
+        seen.load = load
+        seen.told = now
+
     def sent(self, presence: Presence, now: float) -> None:
         """Notes that a request was sent."""
         self._seen(presence, now).outstanding += 1
--- a/src/fulmarrudder/call/codec.py
+++ b/src/fulmarrudder/call/codec.py
@@ -11,8 +11,10 @@
 
 from fulmarrudder.call.errors import ProtocolError
 from fulmarrudder.call.message import (
+    ARRIVED_HEADER,
     RAN_HEADER,
     REASON_HEADER,
+    RETRY_AFTER_HEADER,
     BodyEnd,
     BodyPart,
     Continue,
@@ -25,6 +27,8 @@
 
 HEADER_BYTES_LIMIT = 16_384
 HEADER_COUNT_LIMIT = 100
+# A caller that is told nothing else comes back after this long.
+RETRY_AFTER_S = 1
 CRLF = b"\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 CONTINUE_LINE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -283,8 +287,14 @@
             (REASON_HEADER, refusal.reason.value.encode()),
         )
     )
-    if refusal.status == HTTPStatus.SERVICE_UNAVAILABLE:
-        headers = headers.having((b"retry-after", b"1"))
+    if refusal.arrived:
+        headers = headers.having((ARRIVED_HEADER, b"yes"))
+    wait_s = refusal.retry_after_s
+    if wait_s is None and refusal.status == HTTPStatus.SERVICE_UNAVAILABLE:
+        wait_s = RETRY_AFTER_S
+    if wait_s is not None:
+        told = f"{wait_s:.3f}".rstrip("0").rstrip(".")
+        headers = headers.having((RETRY_AFTER_HEADER, told.encode()))
     return ResponseHead(
         status=refusal.status,
         reason=_REASONS.get(refusal.status, b"Refused"),
--- a/src/fulmarrudder/call/ending.py
+++ b/src/fulmarrudder/call/ending.py
@@ -12,6 +12,7 @@
     RefusalReason.BROKEN,
     RefusalReason.WRONG_TARGET,
     RefusalReason.DEADLINE,
+    RefusalReason.MISDIRECTED,
 }
 
 
@@ -56,6 +57,13 @@
     return ending.refusal.ran is not Ran.NO
 
 
+def arrived(ending: Ending) -> bool:
+    """Tells whether an attempt may have handed the request to a target."""
+    if not isinstance(ending, Declined):
+        return True
+    return ending.refusal.arrived or ending.refusal.ran is not Ran.NO
+
+
 @singledispatch
 def counts_as_failure(ending: Ending) -> bool:
     """Tells whether an attempt speaks against its endpoint."""
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -2,18 +2,21 @@
 
 import dataclasses
 import random
+from collections.abc import Callable
 
 from twisted.internet.defer import CancelledError, TimeoutError
 
 from fulmarrudder.call.answer import Answer, refused
 from fulmarrudder.call.body import RequestBody
 from fulmarrudder.call.choose import Chooser
+from fulmarrudder.call.dialect import OWN, Dialect
 from fulmarrudder.call.ending import (
     Answered,
     Broken,
     Declined,
     Ending,
     Late,
+    arrived,
     counts_as_failure,
     may_have_run,
     nothing_there,
@@ -21,11 +24,15 @@
     truthful,
 )
 from fulmarrudder.call.errors import CallError, ConnectError
+from fulmarrudder.call.gather import gather
+from fulmarrudder.call.hop import load_of, without_load
 from fulmarrudder.call.host import Host, LiveAnswer
 from fulmarrudder.call.message import Refusal, RefusalReason, RequestHead
 from fulmarrudder.call.plan import Call, plan
 from fulmarrudder.call.refusals import not_run
 from fulmarrudder.call.retry import (
+    BUDGET_LIMIT,
+    BUDGET_RATIO,
     MOST_ATTEMPTS,
     Attempt,
     Next,
@@ -45,10 +52,12 @@
 from fulmarrudder.clock import Clock, wall_seconds
 from fulmarrudder.fold import State
 from fulmarrudder.membership import FactStore
-from fulmarrudder.model import Presence
+from fulmarrudder.model import Condition, Presence
 from fulmarrudder.observe import Metrics, Spans
 from fulmarrudder.pipe import flow
 
+# Targets that may turn a request away because another may have room.
+MOST_OFFERS = 2
 UNREACHABLE = not_run(
     RefusalReason.UNREACHABLE,
     "node beside the target could not be reached",
@@ -81,7 +90,9 @@
 
     Attributes:
         in_force: The arrangement that requests are routed by.
-        budget: Bounds retries.
+        budgets: Bound retries, by service.
+        dialect: Field names of callers and targets.
+        caller: Returns the service beside this node.
         chooser: Chooses endpoints.
         sender: Sends calls to other nodes.
     """
@@ -99,7 +110,11 @@
         rng: random.Random,
         spans: Spans,
         metrics: Metrics,
+        dialect: Dialect = OWN,
+        caller: Callable[[], str] = str,
     ):
+        self.dialect = dialect
+        self.caller = caller
         self.clock = clock
         self.host = host
         self.node = node
@@ -108,7 +123,9 @@
         self.rng = rng
         self.spans = spans
         self.metrics = metrics
-        self.budget = RetryBudget()
+        self.budgets: dict[str, RetryBudget] = {}
+        self.budget_ratio = BUDGET_RATIO
+        self.budget_limit = BUDGET_LIMIT
         self.sender = Sender(
             clock=clock,
             pool=pool,
@@ -144,6 +161,8 @@
             arrived=arrived,
             span=span,
             traceparent=self.spans.traceparent(span),
+            dialect=self.dialect,
+            caller=self.caller(),
         )
         if isinstance(call, Refusal):
             return refused(call)
@@ -153,9 +172,31 @@
         suspect = refuse_suspect(self.facts, call.fingerprint, wall_seconds())
         if suspect is not None:
             return refused(suspect)
-        self.budget.deposit()
+        self.budget_of(call.service).deposit()
         return await self._attempts(call)
 
+    def budget_of(self, service: str) -> RetryBudget:
+        """Returns the budget of a service's retries."""
+        budget = self.budgets.get(service)
+        if budget is None:
+            budget = RetryBudget(
+                ratio=self.budget_ratio, limit=self.budget_limit
+            )
+            self.budgets[service] = budget
+        return budget
+
+    def bound_retries(self, *, ratio: float, limit: float) -> None:
+        """Sets this node's part of the retries that all nodes may make.
+
+        Args:
+            ratio: Retries earned by a request.
+            limit: Most retries that can be saved up, for each service.
+        """
+        self.budget_ratio, self.budget_limit = ratio, limit
+        for budget in self.budgets.values():
+            budget.ratio, budget.limit = ratio, limit
+            budget.tokens = min(budget.tokens, limit)
+
     def _arranged(self, head: RequestHead) -> RequestHead | Refusal:
         if self.in_force.table is None:
             return not_run(
@@ -165,7 +206,7 @@
         return head
 
     def _match(self, head: RequestHead) -> Routed | Refusal:
-        return self.in_force.table.match(head)
+        return self.in_force.table.match(head, self.rng)
 
     async def _attempts(self, call: Call) -> Answer:
         last: Answer | None = None
@@ -178,6 +219,7 @@
             call.attempts += 1
             tried = await self._attempt(call, presence)
             call.may_have_run |= may_have_run(tried.ending)
+            call.arrivals += arrived(tried.ending)
             after = self._decide(call, tried)
             self.metrics.count(
                 "fulmarrudder_attempts_total",
@@ -194,7 +236,7 @@
             )
             if after is Next.REFUSE:
                 return refused(refusal)
-            if isinstance(tried.answer, LiveAnswer):
+            if tried.answer is not None:
                 tried.answer.cancel()
             last = refused(refusal)
 
@@ -204,15 +246,18 @@
             repeatable=call.idempotent or (broken and bool(call.key)),
             replayable=call.body.replayable,
             number=call.attempts,
+            arrivals=call.arrivals,
+            most=call.route.attempts,
         )
         after = next_after(tried.ending, attempt)
-        if after is Next.RETRY and not self.budget.withdraw():
-            answered = isinstance(tried.ending, Answered)
-            return Next.DELIVER if answered else Next.REFUSE
-        if after is Next.RETRY and self.clock.seconds() >= call.deadline:
-            answered = isinstance(tried.ending, Answered)
-            return Next.DELIVER if answered else Next.REFUSE
-        return after
+        if after is not Next.RETRY:
+            return after
+        if self.clock.seconds() < call.deadline:
+            # A second target draws on the budget, a second node does not.
+            if not call.arrivals or self.budget_of(call.service).withdraw():
+                return after
+        answered = isinstance(tried.ending, Answered)
+        return Next.DELIVER if answered else Next.REFUSE
 
     def _next_endpoint(self, call: Call) -> Presence | None:
         chosen = self._choose(call)
@@ -221,18 +266,18 @@
         return chosen
 
     def _choose(self, call: Call) -> Presence | None:
-        route = call.route
         versions = versions_for(
             self.in_force.state,
-            route.service,
-            route.name,
+            call.service,
+            call.route.name,
             self.facts.brakes,
             self.rng,
         )
-        present = self.facts.endpoints_of(route.service)
+        present = self.facts.endpoints_of(call.service)
         now = self.clock.seconds()
-        for version in versions:
-            chosen = self.chooser.choose(present, version, now, call.tried)
+        for wanted in versions:
+            fit = tuple(p for p in present if wanted.admit(p.target_version))
+            chosen = self.chooser.choose(fit, None, now, call.tried)
             if chosen is not None:
                 return chosen
         return None
@@ -241,12 +286,18 @@
         started = self.clock.seconds()
         self.chooser.sent(presence, started)
         failed, gone = True, False
+        elsewhere = self._elsewhere(call)
         try:
             if presence.node == self.node:
-                request = call.request_to(presence)
+                request = call.request_to(presence, elsewhere=elsewhere)
                 answer = await self.host.open(request, call.body, call.ready)
             else:
-                answer = await self.sender.send(call, presence)
+                answer = await self.sender.send(
+                    call, presence, elsewhere=elsewhere
+                )
+                self._note_load(presence, answer)
+            if isinstance(answer, LiveAnswer):
+                answer = await gather(answer, self.clock, call.deadline)
             tried = _tried_from(answer)
             failed = counts_as_failure(tried.ending)
             gone = nothing_there(tried.ending)
@@ -267,10 +318,29 @@
             )
         return tried
 
+    def _elsewhere(self, call: Call) -> bool:
+        if call.attempts > MOST_OFFERS:
+            return False
+        for presence in self.facts.endpoints_of(call.service):
+            if presence.condition is not Condition.READY:
+                continue
+            if presence.node not in call.tried:
+                return True
+        return False
+
+    def _note_load(self, presence: Presence, answer: Answer) -> None:
+        load = load_of(answer.head)
+        if load is None:
+            return
+        self.chooser.told(presence, self.clock.seconds(), load)
+        answer.head = without_load(answer.head)
+
     def _may_go_elsewhere(self, call: Call) -> bool:
         if call.attempts >= MOST_ATTEMPTS or not call.body.replayable:
             return False
-        return self.budget.tokens >= 1.0 and self._choose(call) is not None
+        if self.budget_of(call.service).tokens < 1.0:
+            return False
+        return self._choose(call) is not None
 
 
 def _tried_from(answer: Answer) -> _Tried:
--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -5,12 +5,18 @@
 
 from fulmarrudder.call.host import HostRequest
 from fulmarrudder.call.message import (
+    ARRIVED_HEADER,
+    ELSEWHERE_HEADER,
     FINGERPRINT_HEADER,
     IDEMPOTENCY_KEY_HEADER,
+    LOAD_HEADER,
     PEER_HEADER,
+    PROMPT_HEADER,
     RAN_HEADER,
+    RANK_HEADER,
     REASON_HEADER,
     REPEATABLE_HEADER,
+    RETRY_AFTER_HEADER,
     ROUTE_HEADER,
     TARGET_HEADER,
     TIME_LEFT_HEADER,
@@ -25,7 +31,7 @@
 from fulmarrudder.call.screen import strip_own
 
 TIME_LEFT_LIMIT_MS = 24 * 3600 * 1000
-REPEATABLE = b"yes"
+YES = b"yes"
 EXPECT = (b"expect", b"100-continue")
 
 
@@ -50,7 +56,14 @@
         (FINGERPRINT_HEADER, request.fingerprint.encode()),
     ]
     if request.repeatable:
-        fields.append((REPEATABLE_HEADER, REPEATABLE))
+        fields.append((REPEATABLE_HEADER, YES))
+    if request.rank:
+        fields.append((RANK_HEADER, b"%d" % request.rank))
+    if request.prompt:
+        prompt_ms = max(1, int((request.prompt - now) * 1000))
+        fields.append((PROMPT_HEADER, b"%d" % prompt_ms))
+    if request.elsewhere:
+        fields.append((ELSEWHERE_HEADER, YES))
     if waits:
         fields.append(EXPECT)
     headers = request.head.headers.having(*fields)
@@ -83,7 +96,8 @@
         return malformed("time left is missing or wrong")
     if not service or not version:
         return malformed("target is missing")
-    repeatable = headers.get(REPEATABLE_HEADER) == REPEATABLE
+    repeatable = headers.get(REPEATABLE_HEADER) == YES
+    prompt_ms = _number(headers.get(PROMPT_HEADER))
     key = b"" if repeatable else headers.get(IDEMPOTENCY_KEY_HEADER) or b""
     return HostRequest(
         head=strip_own(head),
@@ -94,9 +108,41 @@
         key=key.decode("latin-1"),
         repeatable=repeatable,
         deadline=now + int(left) / 1000,
+        prompt=now + prompt_ms / 1000 if prompt_ms else 0.0,
+        rank=_number(headers.get(RANK_HEADER)),
+        elsewhere=headers.get(ELSEWHERE_HEADER) == YES,
     )
 
 
+def _number(value: bytes | None) -> int:
+    return int(value) if value is not None and value.isdigit() else 0
+
+
+def load_field(running: int, slots: int) -> tuple[bytes, bytes]:
+    """Returns the field by which a node tells how busy its target is.
+
+    Args:
+        running: Requests that run or wait there.
+        slots: Requests that the target serves at once.
+    """
+    return (LOAD_HEADER, b"%d/%d" % (running, slots))
+
+
+def load_of(head: ResponseHead) -> int | None:
+    """Returns how many requests ran or waited beside a node, if it tells."""
+    value = head.headers.get(LOAD_HEADER)
+    if value is None:
+        return None
+    running = value.partition(b"/")[0]
+    return int(running) if running.isdigit() else None
+
+
+def without_load(head: ResponseHead) -> ResponseHead:
+    """Returns an answer's head for a caller."""
+    kept = tuple(f for f in head.headers.fields if f[0] != LOAD_HEADER)
+    return head.with_headers(Headers(kept))
+
+
 def refusal_of(head: ResponseHead) -> Refusal | None:
     """Returns the refusal that another node's answer tells, or None."""
     ran = head.headers.get(RAN_HEADER)
@@ -108,6 +154,12 @@
             status=head.status,
             reason=RefusalReason(reason.decode("latin-1")),
             ran=Ran(ran.decode("latin-1")),
+            retry_after_s=_seconds(head.headers.get(RETRY_AFTER_HEADER)),
+            arrived=head.headers.get(ARRIVED_HEADER) == YES,
         )
     except ValueError:
         return None
+
+
+def _seconds(value: bytes | None) -> float | None:
+    return None if value is None else float(value)
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -22,6 +22,13 @@
     Mine,
 )
 from fulmarrudder.call.collect import Collector
+from fulmarrudder.call.dialect import (
+    OWN,
+    Dialect,
+    Soundness,
+    for_target,
+    soundness,
+)
 from fulmarrudder.call.ending import FAILED_FROM
 from fulmarrudder.call.errors import CallError, ConnectError, SlotError
 from fulmarrudder.call.message import (
@@ -35,7 +42,7 @@
 from fulmarrudder.call.refusals import broken, late, not_run
 from fulmarrudder.call.screen import clean_response
 from fulmarrudder.call.settle import claim_answer, settlement
-from fulmarrudder.call.slots import Slots
+from fulmarrudder.call.slots import Ask, Slots
 from fulmarrudder.call.suspects import STRIKE_S, refuse_suspect
 from fulmarrudder.call.tally import Tallies
 from fulmarrudder.call.upstream import BrokenError, Ended, Exchange, Pool
@@ -59,6 +66,9 @@
         key: Idempotency key, or empty when none needs claiming.
         repeatable: Whether a second run would do no harm.
         deadline: Clock seconds.
+        prompt: Clock seconds until which the answer is worth most, or 0.
+        rank: Urgency; 0 is the most urgent.
+        elsewhere: Whether the entry node knows of another target.
     """
 
     head: RequestHead
@@ -69,6 +79,9 @@
     key: str
     repeatable: bool
     deadline: float
+    prompt: float = 0.0
+    rank: int = 0
+    elsewhere: bool = False
 
 
 class LiveAnswer:
@@ -108,7 +121,9 @@
         log,
         rng: random.Random,
         spread,
+        dialect: Dialect = OWN,
     ):
+        self.dialect = dialect
         self.clock = clock
         self.pool = pool
         self.beside = beside
@@ -149,10 +164,25 @@
         refusal = self.refuse(request)
         if refusal is not None:
             return refused(refusal)
+        ask = Ask(
+            deadline=request.deadline,
+            prompt=request.prompt,
+            rank=request.rank,
+            elsewhere=request.elsewhere,
+        )
+        granted = self.slots.acquire(request.deadline, ask)
+        if not granted.called:
+            # Queued, so that it will run: its body may come meanwhile.
+            ready()
         try:
-            await self.slots.acquire(request.deadline)
+            await granted
         except SlotError as error:
-            return refused(not_run(RefusalReason.OVERLOADED, str(error)))
+            return refused(self._too_busy(request, str(error)))
+        # What has changed while the request waited binds as well.
+        refusal = self.refuse(request)
+        if refusal is not None:
+            self.slots.release()
+            return refused(refusal)
         hold = _Hold(self)
         try:
             if not request.key:
@@ -161,6 +191,18 @@
         finally:
             hold.settle()
 
+    def _too_busy(self, request: HostRequest, detail: str) -> Refusal:
+        reason = RefusalReason.OVERLOADED
+        if request.elsewhere:
+            reason = RefusalReason.BUSY
+        after_s = self.slots.retry_after()
+        return not_run(reason, detail, retry_after_s=after_s)
+
+    @property
+    def load(self) -> int:
+        """Requests that run or wait beside this node."""
+        return self.slots.taken + self.slots.queued
+
     def refuse(self, request: HostRequest) -> Refusal | None:
         """Says why a request may not run now, or None."""
         latest = self.beside.latest
@@ -217,8 +259,8 @@
         return WholeAnswer(head, data)
 
     async def _run(self, request, body, ready, hold) -> Answer:
-        address = self.beside.latest.address
-        incarnation = self.beside.latest.incarnation
+        target = self.beside.latest
+        address, incarnation = target.address, target.incarnation
         try:
             connection = await self.pool.take(
                 address, fresh=not request.repeatable
@@ -230,9 +272,15 @@
             )
         ready()
         started = self.clock.seconds()
-        exchange = connection.start(request.head, body)
-        hold.take(exchange)
         left = max(0.0, request.deadline - started)
+        sent = for_target(
+            request.head,
+            self.dialect,
+            left_ms=int(left * 1000),
+            target=target.id,
+        )
+        exchange = connection.start(sent, body)
+        hold.take(exchange)
         try:
             head = await exchange.begun.addTimeout(left, self.clock)
         except TimeoutError:
@@ -250,10 +298,49 @@
             self._strike(request, incarnation)
             ensureDeferred(self._probe(address))
             return refused(broken(f"target closed: {error}"))
+        sound = soundness(head, request.head, self.dialect)
+        if sound is not Soundness.SOUND:
+            return await self._unsound(request, sound, head, exchange)
         failed = head.status >= FAILED_FROM
         self._tally(request, started, failed=failed)
         return LiveAnswer(clean_response(head, from_target=True), exchange)
 
+    async def _unsound(
+        self, request: HostRequest, sound: Soundness, head, exchange: Exchange
+    ) -> Answer:
+        logs.info(
+            "answer-unsound",
+            request=request.fingerprint,
+            found=sound.value,
+            status=head.status,
+        )
+        if sound is Soundness.FOREIGN:
+            exchange.cancel()
+            self._tally(request, self.clock.seconds(), failed=True)
+            return refused(broken("target's answer was not to this request"))
+        if sound is Soundness.MISDIRECTED:
+            exchange.cancel()
+            self.beside.refused_connection()
+            return refused(
+                not_run(
+                    RefusalReason.MISDIRECTED,
+                    "another target has the address",
+                    arrived=True,
+                )
+            )
+        collector = Collector()
+        exchange.stream_to(collector)
+        collector.whole.addErrback(lambda failure: failure.trap(CallError))
+        await collector.whole
+        return refused(
+            not_run(
+                RefusalReason.SHED,
+                "target turned the request away",
+                retry_after_s=self.slots.retry_after(),
+                arrived=True,
+            )
+        )
+
     async def _probe(self, address: str) -> None:
         # A target that has died is told from one that closed a connection
         # by connecting again, long before its silence would tell.
@@ -299,17 +386,19 @@
 class _Hold:
     """A slot in use, given back once whatever comes first."""
 
-    __slots__ = ("exchange", "host", "open", "shared")
+    __slots__ = ("exchange", "host", "open", "shared", "started")
 
     def __init__(self, host: Host):
         self.host = host
         self.exchange: Exchange | None = None
         self.open = True
         self.shared = False
+        self.started = 0.0
         host.in_flight += 1
 
     def take(self, exchange: Exchange) -> None:
         self.exchange = exchange
+        self.started = self.host.clock.seconds()
         exchange.on_end = self._ended
 
     def settle(self) -> None:
@@ -322,13 +411,16 @@
     def _ended(self, ended: Ended) -> None:
         self.exchange = None
         if not self.shared:
-            self._release()
+            held_s = None
+            if ended is Ended.WHOLE:
+                held_s = self.host.clock.seconds() - self.started
+            self._release(held_s)
 
-    def _release(self) -> None:
+    def _release(self, held_s: float | None = None) -> None:
         if self.open:
             self.open = False
             self.host.in_flight -= 1
-            self.host.slots.release()
+            self.host.slots.release(held_s)
 
 
 def _pass_to(result, waiting: Deferred) -> None:
--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -11,6 +11,13 @@
 FINGERPRINT_HEADER = b"fulmarrudder-fingerprint"
 REPEATABLE_HEADER = b"fulmarrudder-repeatable"
 RAN_HEADER = b"fulmarrudder-ran"
+ARRIVED_HEADER = b"fulmarrudder-arrived"
+CALLER_HEADER = b"fulmarrudder-caller"
+RANK_HEADER = b"fulmarrudder-rank"
+PROMPT_HEADER = b"fulmarrudder-prompt-ms"
+ELSEWHERE_HEADER = b"fulmarrudder-elsewhere"
+LOAD_HEADER = b"fulmarrudder-load"
+RETRY_AFTER_HEADER = b"retry-after"
 REASON_HEADER = b"fulmarrudder-reason"
 OWN_PREFIX = b"fulmarrudder-"
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
@@ -141,6 +148,12 @@
     NO_ARRANGEMENT = "no-arrangement-yet"
     NO_TARGET = "no-target"
     OVERLOADED = "overloaded"
+    BUSY = "busy"
+    SHED = "target-shed"
+    MISDIRECTED = "target-replaced"
+    UNSOUND = "unsound-answer"
+    TOO_LARGE_BODY = "body-too-large"
+    NO_HEAD = "head-not-finished"
     LEAVING = "leaving"
     WRONG_TARGET = "wrong-target"
     NOT_A_PEER = "not-a-peer"
@@ -157,9 +170,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Refusal:
-    """An answer of the system's own in place of the target's."""
+    """An answer of the system's own in place of the target's.
+
+    Attributes:
+        retry_after_s: When the caller should come back, in seconds; None for
+            the default of the status.
+        arrived: Whether a target was handed the request, if only to turn it
+            away unrun.
+    """
 
     status: int
     reason: RefusalReason
     ran: Ran
     detail: str = ""
+    retry_after_s: float | None = None
+    arrived: bool = False
--- a/src/fulmarrudder/call/plan.py
+++ b/src/fulmarrudder/call/plan.py
@@ -4,11 +4,11 @@
 from collections.abc import Callable
 
 from fulmarrudder.call.body import RequestBody
+from fulmarrudder.call.dialect import OWN, Dialect, from_caller
 from fulmarrudder.call.hop import traced
 from fulmarrudder.call.host import HostRequest
 from fulmarrudder.call.message import (
     IDEMPOTENCY_KEY_HEADER,
-    TIMEOUT_HEADER,
     Refusal,
     RequestHead,
 )
@@ -34,6 +34,10 @@
         may_have_run: Whether any of them may have run the request.
         tried: Nodes that it was sent to.
         span: Span of the call, or None.
+        service: Service that the call goes to.
+        prompt: Clock seconds until which its answer is worth most, or 0.
+        arrivals: Attempts that may have reached a target.
+        id: The caller's id of the request, or empty.
     """
 
     head: RequestHead
@@ -48,9 +52,20 @@
     may_have_run: bool = False
     tried: frozenset[str] = frozenset()
     span: object = None
+    service: str = ""
+    prompt: float = 0.0
+    arrivals: int = 0
+    id: str = ""
 
-    def request_to(self, presence: Presence) -> HostRequest:
-        """Returns what a node beside a target is asked."""
+    def request_to(
+        self, presence: Presence, *, elsewhere: bool = False
+    ) -> HostRequest:
+        """Returns what a node beside a target is asked.
+
+        Args:
+            presence: The node.
+            elsewhere: Whether another one may well have room.
+        """
         return HostRequest(
             head=self.head,
             service=presence.service,
@@ -60,6 +75,9 @@
             key=self.key,
             repeatable=self.idempotent,
             deadline=self.deadline,
+            prompt=self.prompt,
+            rank=self.route.rank,
+            elsewhere=elsewhere,
         )
 
 
@@ -71,6 +89,8 @@
     arrived: float,
     span,
     traceparent: bytes | None,
+    dialect: Dialect = OWN,
+    caller: str = "",
 ) -> Call | Refusal:
     """Plans a call.
 
@@ -81,20 +101,29 @@
         arrived: Clock seconds.
         span: Span of the call, or None.
         traceparent: Field that names the span, or None.
+        dialect: Field names.
+        caller: Service beside this node.
     """
     head, route = routed.head, routed.route
     timeout_ms = route.timeout_ms
-    asked = head.headers.get(TIMEOUT_HEADER)
+    asked = head.headers.get(dialect.time_left)
     if asked is not None:
         if not asked.isdigit():
             return malformed("timeout is not a whole number")
         timeout_ms = min(timeout_ms, int(asked))
-    idempotent = route.idempotent or head.method in SAFE_METHODS
+    idempotent = route.idempotent or (
+        route.by_method and head.method in SAFE_METHODS
+    )
     key = head.headers.get(IDEMPOTENCY_KEY_HEADER) or b""
     if len(key) > KEY_LIMIT:
         return malformed("Idempotency-Key is too long")
+    aim_s = route.aim_ms / 1000
+    head = from_caller(traced(strip_own(head), traceparent), dialect, caller)
     return Call(
-        head=traced(strip_own(head), traceparent),
+        head=head,
+        service=routed.service,
+        prompt=arrived + aim_s if aim_s else 0.0,
+        id=_text(head.headers.get(dialect.request_id)),
         route=route,
         body=body,
         ready=ready,
@@ -103,3 +132,7 @@
         key="" if idempotent else key.decode("latin-1"),
         span=span,
     )
+
+
+def _text(value: bytes | None) -> str:
+    return "" if value is None else value.decode("latin-1")
--- a/src/fulmarrudder/call/refusals.py
+++ b/src/fulmarrudder/call/refusals.py
@@ -13,9 +13,23 @@
     )
 
 
-def not_run(reason: RefusalReason, detail: str, status: int = 503) -> Refusal:
+def not_run(
+    reason: RefusalReason,
+    detail: str,
+    status: int = 503,
+    *,
+    retry_after_s: float | None = None,
+    arrived: bool = False,
+) -> Refusal:
     """Returns the refusal of a request that did not run."""
-    return Refusal(status=status, reason=reason, ran=Ran.NO, detail=detail)
+    return Refusal(
+        status=status,
+        reason=reason,
+        ran=Ran.NO,
+        detail=detail,
+        retry_after_s=retry_after_s,
+        arrived=arrived,
+    )
 
 
 def broken(detail: str) -> Refusal:
--- a/src/fulmarrudder/call/retry.py
+++ b/src/fulmarrudder/call/retry.py
@@ -13,7 +13,8 @@
 )
 from fulmarrudder.call.message import Ran, RefusalReason
 
-MOST_ATTEMPTS = 3
+# Attempts, with those that nodes turned away before a target saw them.
+MOST_ATTEMPTS = 5
 BUDGET_RATIO = 0.1
 BUDGET_LIMIT = 20.0
 RETRIED_STATUS = frozenset({502, 503, 504})
@@ -36,11 +37,15 @@
             request is idempotent or its key is claimed before it runs.
         replayable: Whether the whole body is still at hand.
         number: Attempts made so far.
+        arrivals: Those that may have reached a target.
+        most: Targets that the request may be handed to.
     """
 
     repeatable: bool
     replayable: bool
     number: int
+    arrivals: int = 0
+    most: int = 3
 
 
 class RetryBudget:
@@ -48,16 +53,22 @@
 
     Attributes:
         tokens: Retries that may be made now.
+        ratio: Retries earned by a request.
+        limit: Most retries that can be saved up.
     """
 
-    __slots__ = ("tokens",)
+    __slots__ = ("limit", "ratio", "tokens")
 
-    def __init__(self):
-        self.tokens = BUDGET_LIMIT
+    def __init__(
+        self, *, ratio: float = BUDGET_RATIO, limit: float = BUDGET_LIMIT
+    ):
+        self.ratio = ratio
+        self.limit = limit
+        self.tokens = limit
 
     def deposit(self) -> None:
         """Notes a request."""
-        self.tokens = min(BUDGET_LIMIT, self.tokens + BUDGET_RATIO)
+        self.tokens = min(self.limit, self.tokens + self.ratio)
 
     def withdraw(self) -> bool:
         """Takes a retry out of the budget, if it holds one."""
@@ -120,6 +131,6 @@
 def _retry_or(otherwise: Next, again: bool, attempt: Attempt) -> Next:
     if not again or not attempt.replayable:
         return otherwise
-    if attempt.number >= MOST_ATTEMPTS:
+    if attempt.number >= MOST_ATTEMPTS or attempt.arrivals >= attempt.most:
         return otherwise
     return Next.RETRY
--- a/src/fulmarrudder/call/route.py
+++ b/src/fulmarrudder/call/route.py
@@ -1,6 +1,7 @@
 """Filter: from a request to the route that its arrangement gives it."""
 
 import dataclasses
+import random
 
 from fulmarrudder.call.message import (
     Ran,
@@ -13,10 +14,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Routed:
-    """A request and the route that it takes."""
+    """A request and the route that it takes.
+
+    Attributes:
+        service: Service that it goes to.
+    """
 
     head: RequestHead
     route: Route
+    service: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -53,11 +59,14 @@
             entries.sort(key=lambda entry: -len(entry.prefix))
         self.by_host = by_host
 
-    def match(self, head: RequestHead) -> Routed | Refusal:
+    def match(
+        self, head: RequestHead, rng: random.Random | None = None
+    ) -> Routed | Refusal:
         """Finds the route for a request.
 
         Args:
             head: A screened head.
+            rng: Decides among the parts of a split.
 
         Returns:
             The request with its route, or a refusal.
@@ -67,7 +76,8 @@
         for key in (host, b""):
             for entry in self.by_host.get(key, ()):
                 if path_under(path, entry.prefix):
-                    return Routed(head=head, route=entry.route)
+                    service = service_for(entry.route, rng)
+                    return Routed(head=head, route=entry.route, service=service)
         return Refusal(
             status=404,
             reason=RefusalReason.NO_ROUTE,
@@ -76,6 +86,23 @@
         )
 
 
+def service_for(route: Route, rng: random.Random | None) -> str:
+    """Chooses the service that a request on a route goes to.
+
+    Args:
+        route: The route.
+        rng: Decides among the parts of a split.
+    """
+    if not route.split or rng is None:
+        return route.service
+    point = rng.random() * sum(part.weight for part in route.split)
+    for part in route.split:
+        point -= part.weight
+        if point < 0:
+            return part.service
+    return route.split[-1].service
+
+
 def path_under(path: bytes, prefix: bytes) -> bool:
     """Tells whether a path equals a prefix or lies below it."""
     if not path.startswith(prefix):
@@ -97,4 +124,5 @@
         if route.callers and service not in route.callers:
             continue
         names.add(route.service)
+        names.update(part.service for part in route.split)
     return frozenset(names)
--- a/src/fulmarrudder/call/sender.py
+++ b/src/fulmarrudder/call/sender.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 
 from fulmarrudder.call.answer import Answer, WholeAnswer
-from fulmarrudder.call.body import KEEP_BYTES
 from fulmarrudder.call.choose import Chooser
 from fulmarrudder.call.collect import Collector
 from fulmarrudder.call.hop import hop_head, refusal_of
@@ -17,6 +16,9 @@
 from fulmarrudder.model import Presence
 
 HOP_GRACE_S = 0.25
+# Larger bodies wait until the other node wants them, which costs a round trip
+# and spares the bytes where it does not.
+OFFER_BYTES = 8_192
 REFUSAL_BYTES = 65_536
 
 
@@ -52,9 +54,16 @@
             dict
         )
 
-    async def send(self, call: Call, presence: Presence) -> Answer:
+    async def send(
+        self, call: Call, presence: Presence, *, elsewhere: bool = False
+    ) -> Answer:
         """Sends a call to a node.
 
+        Args:
+            call: The call.
+            presence: The node.
+            elsewhere: Whether another one may well have room.
+
         Raises:
             CallError: There was no answer.
             TimeoutError: The deadline passed.
@@ -64,9 +73,9 @@
         )
         now = self.clock.seconds()
         waits = call.head.framing is Framing.CHUNKED or (
-            call.head.length > KEEP_BYTES
+            call.head.length > OFFER_BYTES
         )
-        request = call.request_to(presence)
+        request = call.request_to(presence, elsewhere=elsewhere)
         head = hop_head(request, self.token, now, waits=waits)
         exchange = connection.start(head, call.body, waits=waits)
         if call.idempotent:
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -10,7 +10,8 @@
     encode_part,
     encode_response,
 )
-from fulmarrudder.call.hop import host_request, traced
+from fulmarrudder.call.dialect import with_id
+from fulmarrudder.call.hop import host_request, load_field, traced
 from fulmarrudder.call.message import (
     PEER_HEADER,
     Framing,
@@ -118,7 +119,7 @@
             answer.cancel()
             return
         self.answer = answer
-        head = answer.head
+        head = self._told_head(answer)
         self.framing = head.framing
         if head.framing is Framing.CLOSE:
             self.framing = Framing.CHUNKED
@@ -144,6 +145,16 @@
         # Accounts come last, so that the caller does not wait for them.
         self._observe(answer)
 
+    def _told_head(self, answer: Answer) -> ResponseHead:
+        head = answer.head
+        if self.role == "host":
+            host = self.factory.host
+            field = load_field(host.load, host.slots.capacity)
+            return head.with_headers(head.headers.having(field))
+        if getattr(answer, "refusal", None) is not None:
+            return with_id(head, self.head, self.factory.entry.dialect)
+        return head
+
     def _observe(self, answer: Answer) -> None:
         took = self.factory.clock.seconds() - self.started
         metrics = self.factory.metrics
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -26,10 +26,10 @@
 )
 from fulmarrudder.call.outlet import Outlet
 from fulmarrudder.call.served import ServedCall
+from fulmarrudder.model import Limits
 from fulmarrudder.observe import Metrics, Spans
 
 QUEUE_LIMIT = 64
-IDLE_S = 60.0
 
 
 class CallFactory(Factory):
@@ -37,6 +37,7 @@
 
     Attributes:
         connections: Connections that are open.
+        limits: What callers may send, and how long they may stay idle.
         leaving: Whether connections close once they are idle.
         active: Calls under way.
     """
@@ -61,6 +62,7 @@
         self.metrics = metrics
         self.connections: set[CallConnection] = set()
         self.leaving = False
+        self.limits = Limits()
         self.active = 0
         self.idle: list[Deferred] = []
 
@@ -126,7 +128,7 @@
         """Counts the connection."""
         self.transport.setTcpNoDelay(True)
         self.outlet = Outlet(self.transport, self.factory.clock)
-        self.idle_until = self.factory.clock.seconds() + IDLE_S
+        self._rest()
         self.factory.connections.add(self)
 
     def connectionLost(self, reason):  # noqa: N802
@@ -225,13 +227,17 @@
         """Takes the connection back after a call."""
         self.call = None
         self.factory.active -= 1
-        self.idle_until = self.factory.clock.seconds() + IDLE_S
+        self._rest()
         if not reusable or self.factory.leaving:
             self.closing = True
             self.outlet.close()
         else:
             self.factory.clock.callLater(0, self.pump)
 
+    def _rest(self) -> None:
+        idle_s = self.factory.limits.idle_ms / 1000
+        self.idle_until = self.factory.clock.seconds() + idle_s
+
     def close_if_idle(self) -> None:
         """Closes the connection unless a call is under way."""
         if self.call is None and not self.closing:
--- a/src/fulmarrudder/call/share.py
+++ b/src/fulmarrudder/call/share.py
@@ -1,11 +1,35 @@
 """Filter: from a routed request to the target version that serves it."""
 
+import dataclasses
 import random
 
 from fulmarrudder.fold import Move, Phase, State, current_of, move_of
 from fulmarrudder.model import Brake
 
 PERMILLE = 1000
+DONE = frozenset({Phase.COMPLETING, Phase.COMPLETED})
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Versions:
+    """Target versions that may serve a request.
+
+    Attributes:
+        only: The one that may; empty when there is no such bound.
+        but: One that may not; empty when there is none.
+    """
+
+    only: str = ""
+    but: str = ""
+
+    def admit(self, version: str) -> bool:
+        """Tells whether a target version may serve the request."""
+        if self.only:
+            return version == self.only
+        return not self.but or version != self.but
+
+
+ANY = Versions()
 
 
 def braked(brakes: tuple[Brake, ...], move: Move, route: str) -> bool:
@@ -24,7 +48,7 @@
     route: str,
     brakes: tuple[Brake, ...],
     rng: random.Random,
-) -> tuple[str, ...]:
+) -> tuple[Versions, ...]:
     """Orders the target versions that may serve a request.
 
     Args:
@@ -42,10 +66,25 @@
     if current is None:
         return ()
     move = move_of(state, service)
-    if move is None or move.phase is not Phase.RUNNING:
-        return (current,)
+    if move is None:
+        return (Versions(only=current),)
+    new, old = Versions(only=move.to_version), old_of(move)
+    if move.phase in DONE:
+        return (new, ANY) if not move.from_version else (new,)
+    if move.phase is not Phase.RUNNING:
+        return (old,)
     if move.permille == 0 or braked(brakes, move, route):
-        return (move.from_version,)
+        return (old,)
     if rng.random() * PERMILLE < move.permille:
-        return (move.to_version, move.from_version)
-    return (move.from_version,)
+        return (new, old)
+    return (old,)
+
+
+def old_of(move: Move) -> Versions:
+    """Returns the versions that a move leads away from.
+
+    A move that names no old version leads away from all but the new one.
+    """
+    if move.from_version:
+        return Versions(only=move.from_version)
+    return Versions(but=move.to_version)
--- a/src/fulmarrudder/call/upstream.py
+++ b/src/fulmarrudder/call/upstream.py
@@ -92,6 +92,10 @@
         if self.connection is not None:
             self.connection.transport.resumeProducing()
 
+    def hold(self) -> None:
+        """Takes the answer's body away from its sink, to give it another."""
+        self.sink = None
+
     def cancel(self) -> None:
         """Gives the exchange up and closes its connection."""
         connection = self.connection
--- a/src/fulmarrudder/distribution/__init__.py
+++ b/src/fulmarrudder/distribution/__init__.py
@@ -16,10 +16,11 @@
     relays_of,
 )
 from fulmarrudder.distribution.errors import DistributionError, DivergedError
+from fulmarrudder.distribution.gossip import Gossip, Peer
 from fulmarrudder.distribution.holder import Holder
 from fulmarrudder.distribution.lease import LeaseKeeper, LeaseWatch
 from fulmarrudder.distribution.mesh import Mesh
-from fulmarrudder.distribution.message import Nominate
+from fulmarrudder.distribution.message import Document, Nominate
 from fulmarrudder.distribution.peers import node_of
 
 __all__ = [
@@ -28,11 +29,14 @@
     "Dialer",
     "DistributionError",
     "DivergedError",
+    "Document",
+    "Gossip",
     "Holder",
     "LeaseKeeper",
     "LeaseWatch",
     "Mesh",
     "Nominate",
+    "Peer",
     "Standing",
     "all_relays",
     "duties_of",
--- a/src/fulmarrudder/distribution/codec.py
+++ b/src/fulmarrudder/distribution/codec.py
@@ -7,6 +7,7 @@
 from fulmarrudder.distribution.errors import MessageError
 from fulmarrudder.distribution.message import (
     Delta,
+    Document,
     Hello,
     InStep,
     Interest,
@@ -20,6 +21,7 @@
 )
 from fulmarrudder.model import (
     Brake,
+    Course,
     Evidence,
     Held,
     Presence,
@@ -37,6 +39,7 @@
     resync=Resync,
     interest=Interest,
     nominate=Nominate,
+    document=Document,
 )
 FACT_KINDS = Kinds(
     presence=Presence,
@@ -45,6 +48,7 @@
     held=Held,
     evidence=Evidence,
     summary=Summary,
+    course=Course,
 )
 SPREAD = "spread"
 
--- /dev/null
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -0,0 +1,341 @@
+"""Pipeline of facts in a fleet without relays: each node tells a few others.
+
+Nodes stand on a ring by their ids, and each keeps links to the nodes at
+distances of powers of two, so that a fact reaches everyone in a few steps.
+"""
+
+import collections
+import dataclasses
+import random
+from collections.abc import Callable
+from functools import singledispatchmethod
+
+from twisted.internet.protocol import Factory
+
+from fulmarrudder.clock import Clock, wall_seconds
+from fulmarrudder.distribution.dial import Dialer
+from fulmarrudder.distribution.link import Link
+from fulmarrudder.distribution.message import (
+    Document,
+    Hello,
+    Message,
+    Resync,
+    Role,
+    Spread,
+)
+from fulmarrudder.log import Backoff
+from fulmarrudder.membership import FactStore
+from fulmarrudder.model import (
+    Brake,
+    Condition,
+    Course,
+    Evidence,
+    Fact,
+    Presence,
+    Strike,
+    key_of,
+)
+from fulmarrudder.observe import Metrics, logs
+
+# Nodes that are all linked with one another; larger fleets keep fewer links.
+ALL_LINKED = 9
+# Facts that are not urgent wait this long for others to go with them.
+FLUSH_S = 0.05
+# A node whose link broke and is not back by then is taken as lost.
+LOST_GRACE_S = 2.0
+RETRY_BASE_S = 0.2
+RETRY_LIMIT_S = 2.0
+FACTS_PER_MESSAGE = 200
+URGENT = (Brake, Strike, Course, Presence)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Peer:
+    """A node that may be dialled."""
+
+    node: str
+    mesh_address: str
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Dialling:
+    address: str
+    backoff: Backoff
+    due: float = 0.0
+    link: Link | None = None
+
+
+def neighbours(node: str, others: frozenset[str]) -> frozenset[str]:
+    """Chooses the nodes that a node keeps links to; pure.
+
+    Args:
+        node: The node.
+        others: All other nodes.
+
+    Returns:
+        Nodes to link with; the relation is the same from both sides.
+    """
+    if len(others) < ALL_LINKED:
+        return others
+    ring = sorted((*others, node))
+    place, size = ring.index(node), len(ring)
+    chosen = set()
+    step = 1
+    while step < size:
+        chosen.add(ring[(place + step) % size])
+        chosen.add(ring[(place - step) % size])
+        step *= 2
+    chosen.discard(node)
+    return frozenset(chosen)
+
+
+class Gossip:
+    """Spreads facts among nodes, and configuration to those that missed it.
+
+    Attributes:
+        links: Open links by the node on the other side.
+        known: Nodes that the platform's store names.
+        held: Returns the document in force, or None.
+        on_document: Called with a document that another node holds.
+        on_news: Called with each fact that was news.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: random.Random,
+        node: str,
+        data_centre: str,
+        mesh_address: str,
+        dialer: Dialer,
+        facts: FactStore,
+        metrics: Metrics,
+        held: Callable[[], Document | None],
+        on_document: Callable[[Document], None],
+        on_news: Callable[[Fact], None],
+    ):
+        self.clock = clock
+        self.rng = rng
+        self.node = node
+        self.data_centre = data_centre
+        self.mesh_address = mesh_address
+        self.dialer = dialer
+        self.facts = facts
+        self.metrics = metrics
+        self.held = held
+        self.on_document = on_document
+        self.on_news = on_news
+        self.links: dict[str, Link] = {}
+        self.known: dict[str, Peer] = {}
+        self.dialling: dict[str, _Dialling] = {}
+        self.doubted: dict[str, float] = {}
+        self.outbox: dict[Link, dict] = collections.defaultdict(dict)
+        self.flushing = None
+        self.stopped = False
+
+    def listener(self) -> Factory:
+        """Returns the factory of links that other nodes open."""
+        factory = Factory.forProtocol(
+            lambda: Link(self.clock, self, self.dialer.token, self.metrics)
+        )
+        factory.noisy = False
+        return factory
+
+    def tell(self, fact: Fact) -> None:
+        """Spreads a fact of this node's own."""
+        self._take(fact, None)
+
+    def flush(self) -> None:
+        """Sends what waits to be sent."""
+        flushing, self.flushing = self.flushing, None
+        if flushing is not None and flushing.active():
+            flushing.cancel()
+        outbox, self.outbox = self.outbox, collections.defaultdict(dict)
+        for link, facts in outbox.items():
+            self._send(link, tuple(facts.values()))
+
+    def reconcile(self) -> None:
+        """Dials the nodes that should be linked and are not."""
+        if self.stopped:
+            return
+        peers = self._peers()
+        wanted = neighbours(self.node, frozenset(peers))
+        now = self.clock.seconds()
+        for node in tuple(self.dialling):
+            if node not in wanted:
+                self._give_up(node)
+        for node in wanted:
+            # Of two neighbours the one with the lower id dials.
+            if self.node < node and node not in self.links:
+                self._ensure(peers[node], now)
+        self._declare_lost(now)
+
+    def ask(self) -> None:
+        """Asks another node for a configuration newer than the one held."""
+        if self.links:
+            self._ask(self.rng.choice(tuple(self.links.values())))
+
+    def stop(self) -> None:
+        """Closes all links and opens none from now on."""
+        self.flush()
+        self.stopped = True
+        for link in tuple(self.links.values()):
+            link.close()
+
+    def link_opened(self, link: Link) -> None:
+        """Introduces this node."""
+        if not link.dialled:
+            return
+        link.send(self._hello())
+
+    def link_message(self, link: Link, message: Message) -> None:
+        """Takes a message of another node."""
+        self._receive(message, link)
+
+    def link_closed(self, link: Link) -> None:
+        """Forgets a link."""
+        now = self.clock.seconds()
+        self.outbox.pop(link, None)
+        for dialling in self.dialling.values():
+            if dialling.link is link:
+                dialling.link = None
+                dialling.due = now + dialling.backoff.next_delay()
+        if link.node and self.links.get(link.node) is link:
+            del self.links[link.node]
+            self.doubted[link.node] = now + LOST_GRACE_S
+
+    def _peers(self) -> dict[str, Peer]:
+        peers = dict(self.known)
+        for presence in self.facts.all_of(Presence):
+            peers[presence.node] = Peer(
+                node=presence.node, mesh_address=presence.mesh_address
+            )
+        peers.pop(self.node, None)
+        return peers
+
+    def _ensure(self, peer: Peer, now: float) -> None:
+        dialling = self.dialling.get(peer.node)
+        if dialling is None or dialling.address != peer.mesh_address:
+            backoff = Backoff(
+                base_s=RETRY_BASE_S, limit_s=RETRY_LIMIT_S, rng=self.rng
+            )
+            dialling = _Dialling(address=peer.mesh_address, backoff=backoff)
+            self.dialling[peer.node] = dialling
+        if dialling.link is None and now >= dialling.due:
+            dialling.link = self.dialer.dial(peer.mesh_address, self)
+
+    def _give_up(self, node: str) -> None:
+        dialling = self.dialling.pop(node)
+        if dialling.link is not None:
+            dialling.link.close()
+
+    def _declare_lost(self, now: float) -> None:
+        for node, due in tuple(self.doubted.items()):
+            if node in self.links:
+                del self.doubted[node]
+                continue
+            if now < due:
+                continue
+            del self.doubted[node]
+            presence = self.facts.presence_of(node)
+            if presence is None or presence.condition is Condition.LOST:
+                continue
+            logs.warning("node-lost", peer=node, sequence=presence.sequence)
+            self.tell(dataclasses.replace(presence, condition=Condition.LOST))
+
+    def _hello(self) -> Hello:
+        held = self.held()
+        return Hello(
+            role=Role.PEER,
+            node=self.node,
+            data_centre=self.data_centre,
+            mesh_address=self.mesh_address,
+            offset=held.version if held else 0,
+            digest="",
+            interest=None,
+        )
+
+    @singledispatchmethod
+    def _receive(self, message: Message, link: Link) -> None:
+        logs.warning("link-message-unexpected", kind=type(message).__name__)
+
+    @_receive.register
+    def _(self, message: Hello, link: Link) -> None:
+        if self.stopped:
+            link.close()
+            return
+        before = self.links.get(message.node)
+        link.node = message.node
+        link.data_centre = message.data_centre
+        self.links[message.node] = link
+        self.doubted.pop(message.node, None)
+        if before is not None and before is not link:
+            before.close()
+        if message.node in self.dialling:
+            self.dialling[message.node].backoff.reset()
+        if not link.dialled:
+            link.send(self._hello())
+        held = self.held()
+        if message.offset > (held.version if held else 0):
+            self._ask(link)
+        self._send(link, tuple(self.facts.facts.values()))
+
+    @_receive.register
+    def _(self, message: Spread, link: Link) -> None:
+        for fact in message.facts:
+            self._take(fact, link)
+
+    @_receive.register
+    def _(self, message: Resync, link: Link) -> None:
+        held = self.held()
+        if held is not None and held.version > message.offset:
+            link.send(held)
+
+    @_receive.register
+    def _(self, message: Document, link: Link) -> None:
+        self.on_document(message)
+
+    def _ask(self, link: Link) -> None:
+        held = self.held()
+        self.metrics.count("fulmarrudder_resyncs_total")
+        link.send(Resync(offset=held.version if held else 0, digest=""))
+
+    def _take(self, fact: Fact, source: Link | None) -> None:
+        if not self.facts.merge(fact, self.clock.seconds()):
+            return
+        for link in self.links.values():
+            if link is not source:
+                self.outbox[link][key_of(fact)] = fact
+        self._flush_soon(fact)
+        self.on_news(fact)
+
+    def _flush_soon(self, fact: Fact) -> None:
+        delay = 0.0 if isinstance(fact, URGENT) else FLUSH_S
+        due = self.clock.seconds() + delay
+        if self.flushing is not None:
+            if self.flushing.getTime() <= due:
+                return
+            self.flushing.cancel()
+        self.flushing = self.clock.callLater(delay, self._flush_due)
+
+    def _flush_due(self) -> None:
+        self.flushing = None
+        self.flush()
+
+    def _send(self, link: Link, facts: tuple[Fact, ...]) -> None:
+        for start in range(0, len(facts), FACTS_PER_MESSAGE):
+            part = facts[start : start + FACTS_PER_MESSAGE]
+            link.send(Spread(facts=part))
+
+    def expire(self, open_moves: frozenset[str]) -> None:
+        """Forgets facts that have had their time.
+
+        Args:
+            open_moves: Ids of the moves that are open.
+        """
+        self.facts.expire(self.clock.seconds(), wall_seconds())
+        self.facts.forget_moves(open_moves)
+        if not open_moves:
+            for evidence in self.facts.all_of(Evidence):
+                self.facts.drop(key_of(evidence))
--- a/src/fulmarrudder/distribution/message.py
+++ b/src/fulmarrudder/distribution/message.py
@@ -116,6 +116,19 @@
     facts: tuple[Fact, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Document:
+    """A configuration version, as the operator wrote it.
+
+    Attributes:
+        version: The version.
+        text: The document.
+    """
+
+    version: int
+    text: str
+
+
 Message = (
     Hello
     | Placed
@@ -127,4 +140,5 @@
     | Interest
     | Nominate
     | Spread
+    | Document
 )
--- a/src/fulmarrudder/distribution/spread.py
+++ b/src/fulmarrudder/distribution/spread.py
@@ -19,6 +19,7 @@
 from fulmarrudder.model import (
     Brake,
     Condition,
+    Course,
     Evidence,
     Fact,
     Held,
@@ -33,7 +34,7 @@
 LOST_GRACE_S = 4.0
 UNVOUCHED_S = 8.0
 FACTS_PER_MESSAGE = 500
-URGENT = (Brake, Strike)
+URGENT = (Brake, Strike, Course)
 
 
 class Origin(enum.Enum):
@@ -270,6 +271,11 @@
     return _everywhere(spreader)
 
 
+@_destinations.register
+def _(fact: Course, spreader: Spreader, origin: Origin) -> list[Link]:
+    return _everywhere(spreader)
+
+
 def _everywhere(spreader: Spreader) -> list[Link]:
     links = list(spreader.children.by_link)
     links += spreader.links_up()
--- a/src/fulmarrudder/fold/__init__.py
+++ b/src/fulmarrudder/fold/__init__.py
@@ -17,6 +17,7 @@
 )
 from fulmarrudder.fold.state import (
     EMPTY,
+    Current,
     Duty,
     Move,
     Phase,
@@ -33,6 +34,7 @@
     "CONTROLLER",
     "EMPTY",
     "Applied",
+    "Current",
     "Duplicate",
     "Duty",
     "Folded",
--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -13,6 +13,7 @@
 from fulmarrudder.membership.errors import AnnouncementError
 from fulmarrudder.model import Condition
 
+# Three announcements of a target that announces itself every second.
 SILENCE_S = 3.0
 
 
@@ -36,6 +37,7 @@
     """What a target says of itself.
 
     Attributes:
+        id: Names this incarnation of the target, or empty.
         address: host:port where the target listens.
         slots: Requests that it serves at once.
         connections: Connections that it accepts at once.
@@ -49,6 +51,7 @@
     condition: Condition
     slots: int
     connections: int
+    id: str = ""
 
 
 def read_announcement(data: bytes) -> Result[Announcement, AnnouncementError]:
@@ -65,12 +68,14 @@
 
     Attributes:
         latest: The newest announcement, or None.
+        silence_s: Seconds of silence that make it absent.
         deadline: Clock seconds after which silence makes it absent.
         gone: Whether it refused connections after its latest announcement.
     """
 
-    def __init__(self, clock: Clock):
+    def __init__(self, clock: Clock, *, silence_s: float = SILENCE_S):
         self.clock = clock
+        self.silence_s = silence_s
         self.latest: Announcement | None = None
         self.deadline = 0.0
         self.gone = False
@@ -86,7 +91,7 @@
             return False
         self.latest = announcement
         self.gone = False
-        self.deadline = self.clock.seconds() + SILENCE_S
+        self.deadline = self.clock.seconds() + self.silence_s
         return True
 
     def refused_connection(self) -> None:
--- a/src/fulmarrudder/model/__init__.py
+++ b/src/fulmarrudder/model/__init__.py
@@ -1,9 +1,16 @@
 """Core types that every pipeline shares."""
 
-from fulmarrudder.model.arrangement import Arrangement, Route, Service
+from fulmarrudder.model.arrangement import (
+    Arrangement,
+    Limits,
+    Part,
+    Route,
+    Service,
+)
 from fulmarrudder.model.fact import (
     Brake,
     Condition,
+    Course,
     Evidence,
     Fact,
     Held,
@@ -42,6 +49,7 @@
     "ClaimKey",
     "CloseMove",
     "Condition",
+    "Course",
     "Decision",
     "EndMove",
     "Evidence",
@@ -49,6 +57,8 @@
     "Held",
     "Key",
     "KeyBody",
+    "Limits",
+    "Part",
     "Presence",
     "Publish",
     "Record",
--- a/src/fulmarrudder/model/fact.py
+++ b/src/fulmarrudder/model/fact.py
@@ -132,7 +132,32 @@
     lagging: tuple[Held, ...] = ()
 
 
-Fact = Presence | Brake | Strike | Held | Evidence | Summary
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Course:
+    """Where a move stands, as its controller last said.
+
+    Attributes:
+        move: Id of the move.
+        permille: Share of the new version, in thousandths.
+        phase: Phase of the move, by the value of `fold.Phase`.
+        deadline: Wall-clock seconds by which it should be completed.
+        term: The controller's term.
+        step: Counts what the controller said in its term.
+        reason: Why it ended, once it has.
+    """
+
+    move: str
+    service: str
+    to_version: str
+    permille: int
+    phase: str
+    deadline: float
+    term: int
+    step: int
+    reason: str = ""
+
+
+Fact = Presence | Brake | Strike | Held | Evidence | Summary | Course
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -179,6 +204,11 @@
     return Key(kind="summary", name=fact.relay)
 
 
+@key_of.register
+def _(fact: Course) -> Key:
+    return Key(kind="course", name=fact.move)
+
+
 @singledispatch
 def order_of(fact: Fact) -> tuple[int, ...]:
     """Returns the order of the fact among facts with the same key."""
@@ -204,3 +234,8 @@
 @order_of.register
 def _(fact: Summary) -> tuple[int, ...]:
     return (fact.incarnation, fact.sequence)
+
+
+@order_of.register
+def _(fact: Course) -> tuple[int, ...]:
+    return (fact.term, fact.step)
--- a/src/fulmarrudder/move/__init__.py
+++ b/src/fulmarrudder/move/__init__.py
@@ -10,6 +10,7 @@
 from fulmarrudder.move.judge import Bad, Finding, Unproven, judge
 from fulmarrudder.move.ledger import Counts, Ledger, RouteEvidence
 from fulmarrudder.move.monitor import Monitor
+from fulmarrudder.move.order import Order, OrderBook, Verdict
 from fulmarrudder.move.schedule import next_action
 
 __all__ = [
@@ -21,7 +22,10 @@
     "Ledger",
     "Monitor",
     "MoveError",
+    "Order",
+    "OrderBook",
     "RouteEvidence",
+    "Verdict",
     "Unproven",
     "confirm",
     "judge",
--- a/src/fulmarrudder/move/ledger.py
+++ b/src/fulmarrudder/move/ledger.py
@@ -134,7 +134,7 @@
         for tally in evidence.tallies:
             if tally.service != self.service:
                 continue
-            place = (tally.target_version, tally.route)
+            place = (self._side(tally.target_version), tally.route)
             counts = _counts_of(tally)
             before = known.get(place, NOTHING)
             known[place] = counts
@@ -143,6 +143,12 @@
             total = self.totals.get(place, NOTHING)
             self.totals[place] = total.plus(counts.minus(before))
 
+    def _side(self, version: str) -> str:
+        # A move that names no old version leads away from all but the new.
+        if self.old or version == self.new:
+            return version
+        return self.old
+
     def mark(self, now: float) -> None:
         """Remembers the totals, for counts over the latest seconds."""
         if now >= self.interval_until:
--- /dev/null
+++ b/src/fulmarrudder/node/member.py
@@ -0,0 +1,472 @@
+"""One node of a fleet whose configuration comes whole, without relays.
+
+The node takes versions and orders from whatever source it is joined to, and
+spreads what it knows among its neighbours, so that it goes on while the
+source is away.
+"""
+
+import dataclasses
+import random
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Protocol
+
+from twisted.internet.defer import Deferred, succeed
+
+from fulmarrudder.call import (
+    CallFactory,
+    Chooser,
+    Dialect,
+    Entry,
+    Host,
+    InForce,
+    Pool,
+    RouteTable,
+)
+from fulmarrudder.clock import wall_seconds
+from fulmarrudder.distribution import Dialer, Document, Gossip
+from fulmarrudder.fold import Current, Move, Phase, State
+from fulmarrudder.membership import Announcement, Beside, FactStore
+from fulmarrudder.model import (
+    Arrangement,
+    Body,
+    CloseMove,
+    Condition,
+    Course,
+    Decision,
+    EndMove,
+    Evidence,
+    Fact,
+    Presence,
+    StepMove,
+)
+from fulmarrudder.move import (
+    Confirmation,
+    Controller,
+    Monitor,
+    Order,
+    OrderBook,
+    Verdict,
+)
+from fulmarrudder.observe import Metrics, Spans, logs
+
+OPEN = frozenset({Phase.RUNNING, Phase.COMPLETING, Phase.TAKING_BACK})
+ENDED_PHASE = {
+    Decision.COMPLETE: Phase.COMPLETING,
+    Decision.TAKE_BACK: Phase.TAKING_BACK,
+}
+CLOSED_PHASE = {
+    Phase.COMPLETING: Phase.COMPLETED,
+    Phase.TAKING_BACK: Phase.TAKEN_BACK,
+}
+# A decision is spread within a fraction of a second; what the old version
+# still runs by then is done after this long.
+SETTLE_S = 1.5
+# Part of the fleet's budget of retries that nodes may use: calls that a
+# repeated request makes are repeats as well.
+RETRY_PART = 0.4
+# A target's silence says little beside what its connections show.
+SILENCE_S = 15.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Place:
+    """Where a node stands.
+
+    Attributes:
+        node: Id of the node.
+        service: Service of the target beside it.
+        host_address: Where other nodes send calls for that target.
+        mesh_address: Where other nodes open links.
+        retry_ratio: Retries that all nodes may make, by requests.
+        retry_slack: Retries that they may make beyond that.
+    """
+
+    node: str
+    data_centre: str
+    service: str
+    host_address: str
+    mesh_address: str
+    retry_ratio: float
+    retry_slack: float
+
+
+class Term(Protocol):
+    """The controller's duty, as this node knows it.
+
+    Attributes:
+        term: Fences what the holder says.
+    """
+
+    term: int
+
+    def sure(self) -> bool:
+        """Tells whether this node holds the duty now."""
+
+
+class Member:
+    """A node beside a target, in a fleet without relays.
+
+    Attributes:
+        place: Where it stands.
+        entry: Serves callers.
+        host: Serves requests with the target beside it.
+        gossip: Links to other nodes.
+        document: The configuration in force, as written, or None.
+        book: Orders of the operator.
+    """
+
+    def __init__(
+        self,
+        place: Place,
+        *,
+        reactor,
+        rng: random.Random,
+        incarnation: int,
+        dialect: Dialect,
+        token: bytes,
+        term: Term,
+        record: Callable[[Move], Deferred],
+        read: Callable[[Document], None],
+    ):
+        """Builds a node.
+
+        Args:
+            place: Where it stands.
+            reactor: Twisted's reactor.
+            rng: Source of chance.
+            incarnation: Start of the process, in wall-clock milliseconds.
+            dialect: Field names of callers and targets.
+            token: Token by which nodes know each other.
+            term: The controller's duty.
+            record: Records the phase of a move for the operator.
+            read: Reads a document that another node holds.
+        """
+        self.place = place
+        self.clock = reactor
+        self.rng = rng
+        self.incarnation = incarnation
+        self.term = term
+        self.record = record
+        self.sequence = 0
+        self.wall_base = wall_seconds() - reactor.seconds()
+        self.metrics = Metrics()
+        self.spans = Spans(reactor, 0.0)
+        self.facts = FactStore()
+        self.beside = Beside(reactor, silence_s=SILENCE_S)
+        self.pool = Pool(reactor)
+        self.chooser = Chooser(place.data_centre, rng)
+        self.book = OrderBook()
+        self.document: Document | None = None
+        self.state = State()
+        self.shown: Presence | None = None
+        self.evidence_count = 0
+        self.step = 0
+        self.decided: dict[str, float] = {}
+        self.gossip = Gossip(
+            clock=reactor,
+            rng=rng,
+            node=place.node,
+            data_centre=place.data_centre,
+            mesh_address=place.mesh_address,
+            dialer=Dialer(reactor, token, self.metrics),
+            facts=self.facts,
+            metrics=self.metrics,
+            held=lambda: self.document,
+            on_document=read,
+            on_news=self._news,
+        )
+        self.host = Host(
+            clock=reactor,
+            pool=self.pool,
+            beside=self.beside,
+            facts=self.facts,
+            log=None,
+            rng=rng,
+            spread=self.gossip.tell,
+            dialect=dialect,
+        )
+        self.entry = Entry(
+            clock=reactor,
+            pool=self.pool,
+            host=self.host,
+            node=place.node,
+            token=token,
+            facts=self.facts,
+            chooser=self.chooser,
+            rng=rng,
+            spans=self.spans,
+            metrics=self.metrics,
+            dialect=dialect,
+            caller=lambda: self.place.service,
+        )
+        self.calls = CallFactory(
+            clock=reactor,
+            entry=self.entry,
+            host=self.host,
+            token=token,
+            spans=self.spans,
+            metrics=self.metrics,
+        )
+        self.monitor = Monitor(reactor, self.facts, self.gossip.tell)
+        self.controller = Controller(
+            reactor, self.monitor, self._append, self._confirmed, self.wall
+        )
+
+    def wall(self) -> float:
+        """Returns wall-clock seconds that no step of the clock changes."""
+        return self.wall_base + self.clock.seconds()
+
+    @property
+    def version(self) -> int:
+        """The configuration version in force, 0 before any."""
+        return self.state.version
+
+    @property
+    def serving(self) -> bool:
+        """Whether a version is in force and the node is not leaving."""
+        return self.entry.in_force.table is not None and not self.host.leaving
+
+    def take_arrangement(
+        self, document: Document, arrangement: Arrangement
+    ) -> None:
+        """Puts a configuration version in force unless it is an old one.
+
+        Args:
+            document: The version as the operator wrote it.
+            arrangement: What it says.
+        """
+        if document.version <= self.version:
+            return
+        self.document = document
+        currents = tuple(
+            Current(service=service.name, target_version="")
+            for service in arrangement.services
+        )
+        self.state = dataclasses.replace(
+            self.state,
+            version=document.version,
+            arrangement=arrangement,
+            currents=currents,
+        )
+        table = RouteTable(arrangement)
+        self.entry.in_force = InForce(state=self.state, table=table)
+        self.calls.limits = arrangement.limits
+        logs.info(
+            "in-force", version=document.version, routes=len(arrangement.routes)
+        )
+
+    def take_order(self, order: Order) -> None:
+        """Takes an order of the operator's to move a service."""
+        if self.book.take_order(order):
+            logs.info("move-ordered", move=order.id, deadline=order.deadline)
+            self._follow_moves()
+
+    def take_verdict(self, verdict: Verdict) -> None:
+        """Takes a recorded verdict on a move."""
+        self.book.take_verdict(verdict)
+        self._follow_moves()
+
+    def drop_order(self, service: str) -> None:
+        """Learns that an order is no longer there."""
+        self.book.drop(service)
+        self._follow_moves()
+
+    def announced(self, announcement: Announcement) -> None:
+        """Takes an announcement of the target beside this node."""
+        if self.beside.take(announcement):
+            self.host.announced()
+            self.show()
+
+    def open_moves(self) -> tuple[Move, ...]:
+        """Returns the moves that have no recorded verdict yet."""
+        return tuple(m for m in self.state.moves if m.phase in OPEN)
+
+    def wants_term(self) -> bool:
+        """Tells whether this node should seek the controller's duty."""
+        return bool(self.open_moves()) and not self.host.leaving
+
+    def tick(self) -> None:
+        """Does what is due; called several times a second."""
+        self.gossip.reconcile()
+        self.show()
+        self._control()
+
+    def report(self) -> None:
+        """Reports and judges; called every second."""
+        nodes = 1 + len(self.facts.all_of(Presence))
+        self.entry.bound_retries(
+            ratio=self.place.retry_ratio * RETRY_PART,
+            limit=max(1.0, self.place.retry_slack * RETRY_PART / nodes),
+        )
+        self._report_evidence()
+
+    def _report_evidence(self) -> None:
+        latest = self.beside.latest
+        if latest is None:
+            return
+        if not any(m.service == latest.service for m in self.open_moves()):
+            return
+        self.evidence_count += 1
+        self.gossip.tell(
+            Evidence(
+                source=self.place.node,
+                incarnation=self.incarnation,
+                sequence=self.evidence_count,
+                tallies=self.host.tallies.of_service(latest.service),
+            )
+        )
+
+    def _control(self) -> None:
+        if not self.open_moves():
+            return
+        self.monitor.tick()
+        if self.term.sure():
+            self.controller.tick(self.state, self.term.term)
+
+    def sweep(self) -> None:
+        """Forgets what has had its time; called every few seconds."""
+        self.gossip.expire(frozenset(m.id for m in self.open_moves()))
+        self.pool.sweep()
+        self.calls.sweep()
+        known = {(p.node, p.incarnation) for p in self.facts.all_of(Presence)}
+        self.chooser.forget(frozenset(known))
+
+    def show(self, *, again: bool = False) -> None:
+        """Spreads this node's presence when it has changed.
+
+        Args:
+            again: Whether to spread it even when it has not, so that it
+                outdates what others may have concluded.
+        """
+        latest = self.beside.latest
+        condition = self.beside.condition
+        if self.host.leaving:
+            condition = Condition.LEAVING
+        presence = Presence(
+            node=self.place.node,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            data_centre=self.place.data_centre,
+            call_address=self.place.host_address,
+            mesh_address=self.place.mesh_address,
+            service=latest.service if latest else "",
+            target_version=latest.target_version if latest else "",
+            condition=condition,
+            slots=latest.slots if latest else 0,
+        )
+        if presence == self.shown and not again:
+            return
+        self.sequence += 1
+        self.shown = dataclasses.replace(presence, sequence=self.sequence)
+        self.gossip.tell(self.shown)
+
+    def leave(self) -> None:
+        """Starts to leave: takes nothing new for the target."""
+        self.host.leaving = True
+        self.show()
+        self.gossip.flush()
+
+    def stop(self) -> None:
+        """Stops everything that would go on by itself."""
+        self.gossip.stop()
+        self.pool.close()
+
+    def _news(self, fact: Fact) -> None:
+        if isinstance(fact, Evidence):
+            self.monitor.take(fact)
+        if isinstance(fact, Course):
+            self._follow_moves()
+        if not isinstance(fact, Presence):
+            return
+        if fact.condition is Condition.LOST:
+            self.entry.sender.node_lost(fact.node)
+        if fact.node == self.place.node and fact is not self.shown:
+            self._reassert(fact)
+
+    def _reassert(self, fact: Presence) -> None:
+        """Outdates what others concluded, or an earlier start left."""
+        if fact.incarnation > self.incarnation:
+            self.incarnation = fact.incarnation + 1
+        if fact.incarnation == self.incarnation:
+            self.sequence = max(self.sequence, fact.sequence)
+        self.show(again=True)
+
+    def _follow_moves(self) -> None:
+        moves = self.book.moves(self.facts.all_of(Course))
+        if moves == self.state.moves:
+            return
+        self.state = dataclasses.replace(self.state, moves=moves)
+        self.entry.in_force = dataclasses.replace(
+            self.entry.in_force, state=self.state
+        )
+        self.monitor.follow(self.state)
+
+    def _confirmed(self, changed: int) -> Confirmation:
+        now = self.clock.seconds()
+        decided = self.decided.setdefault(str(changed), now)
+        missing = () if now - decided >= SETTLE_S else (self.place.data_centre,)
+        return Confirmation(confirmed=(), lagging=missing, unheard=())
+
+    @singledispatchmethod
+    def _append(self, body: Body) -> Deferred:
+        raise TypeError(f"not for a controller: {type(body).__name__}")
+
+    @_append.register
+    def _(self, body: StepMove) -> Deferred:
+        move = self._move(body.move)
+        if move.permille == 0:
+            self.record(move)
+        self._steer(move, permille=body.permille, phase=Phase.RUNNING)
+        return succeed(None)
+
+    @_append.register
+    def _(self, body: EndMove) -> Deferred:
+        move = self._move(body.move)
+        complete = body.decision is Decision.COMPLETE
+        phase = ENDED_PHASE[body.decision]
+        permille = 1000 if complete else 0
+        self._steer(move, permille=permille, phase=phase, reason=body.reason)
+        return succeed(None)
+
+    @_append.register
+    def _(self, body: CloseMove) -> Deferred:
+        move = self._move(body.move)
+        closed = dataclasses.replace(move, phase=CLOSED_PHASE[move.phase])
+
+        def recorded(_):
+            self._steer(
+                move,
+                permille=move.permille,
+                phase=closed.phase,
+                reason=move.reason,
+            )
+
+        return self.record(closed).addCallback(recorded)
+
+    def _move(self, move_id: str) -> Move:
+        for move in self.state.moves:
+            if move.id == move_id:
+                return move
+        raise KeyError(move_id)
+
+    def _steer(
+        self, move: Move, *, permille: int, phase: Phase, reason: str = ""
+    ) -> None:
+        self.step += 1
+        logs.info(
+            "move-steered", move=move.id, permille=permille, phase=phase.value
+        )
+        self.gossip.tell(
+            Course(
+                move=move.id,
+                service=move.service,
+                to_version=move.to_version,
+                permille=permille,
+                phase=phase.value,
+                deadline=move.deadline,
+                term=self.term.term,
+                step=self.step,
+                reason=reason,
+            )
+        )
--- /dev/null
+++ b/src/fulmarrudder/platform/config.py
@@ -0,0 +1,147 @@
+"""Border of the operator's configuration: JSON to an arrangement."""
+
+from typing import Annotated, Literal
+
+import pydantic
+from expression import Error, Ok, Result
+
+from fulmarrudder.model import Arrangement, Limits, Part, Route, Service
+from fulmarrudder.platform.errors import DocumentError
+from fulmarrudder.platform.words import (
+    Document,
+    Milliseconds,
+    Name,
+    Version,
+    faults_in,
+)
+
+Prefix = Annotated[str, pydantic.Field(pattern=r"^/(.*/)?$", max_length=1024)]
+Positive = Annotated[int, pydantic.Field(ge=1)]
+
+
+class _Service(Document):
+    name: Name
+    # Connections that one target accepts, from all nodes together.
+    connections: Positive = pydantic.Field(alias="maxConnections")
+
+
+class _Part(Document):
+    service: Name
+    weight: int = pydantic.Field(ge=0)
+
+
+class _Route(Document):
+    name: Name
+    prefix: Prefix = pydantic.Field(alias="pathPrefix")
+    service: Name | None = None
+    split: list[_Part] | None = pydantic.Field(
+        None, alias="trafficSplit", min_length=1
+    )
+    # Whether requests may run more than once; both other kinds may not.
+    kind: Literal["idempotent", "non_idempotent", "upload"] = pydantic.Field(
+        alias="routeType"
+    )
+    timeout: Milliseconds = pydantic.Field(gt=0)
+    aim: Milliseconds = pydantic.Field(0.0, alias="targetLatency")
+    rank: int = pydantic.Field(0, alias="priority", ge=0)
+    # Targets that one request may be handed to, the first one included.
+    attempts: Positive = pydantic.Field(alias="maxAttempts")
+
+    @pydantic.model_validator(mode="after")
+    def _one_destination(self):
+        if (self.service is None) == (self.split is None):
+            raise ValueError("needs either a service or a split")
+        if self.split and not sum(part.weight for part in self.split):
+            raise ValueError("split has no weight")
+        return self
+
+
+class _Host(Document):
+    hostname: Name
+    paths: list[_Route]
+
+
+class _Limits(Document):
+    header_bytes: Positive = pydantic.Field(alias="maxHeaderBytes")
+    body_bytes: Positive = pydantic.Field(alias="maxBodyBytes")
+    header_time: Milliseconds = pydantic.Field(alias="headerTimeout", gt=0)
+    idle_time: Milliseconds = pydantic.Field(alias="idleTimeout", gt=0)
+
+
+class _Config(Document):
+    version: Version
+    hosts: list[_Host] = pydantic.Field(alias="virtualHosts")
+    services: list[_Service]
+    limits: _Limits
+
+
+def read_config(data: bytes) -> Result[tuple[int, Arrangement], DocumentError]:
+    """Validates a configuration, as a whole.
+
+    Args:
+        data: JSON.
+
+    Returns:
+        Its version and the arrangement, or every fault.
+    """
+    try:
+        model = _Config.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        return Error(DocumentError("; ".join(faults_in(error))))
+    faults = _faults(model)
+    if faults:
+        return Error(DocumentError("; ".join(faults)))
+    services = tuple(
+        Service(name=s.name, target_versions=(), initial="")
+        for s in model.services
+    )
+    routes = tuple(
+        _route(host.hostname, route)
+        for host in model.hosts
+        for route in host.paths
+    )
+    limits = Limits(
+        header_bytes=model.limits.header_bytes,
+        body_bytes=model.limits.body_bytes,
+        header_ms=int(model.limits.header_time),
+        idle_ms=int(model.limits.idle_time),
+    )
+    arrangement = Arrangement(services=services, routes=routes, limits=limits)
+    return Ok((model.version, arrangement))
+
+
+def _route(host: str, route: _Route) -> Route:
+    split = tuple(
+        Part(service=part.service, weight=part.weight)
+        for part in route.split or ()
+    )
+    return Route(
+        name=route.name,
+        host=host.lower(),
+        prefix=route.prefix,
+        service=route.service or split[0].service,
+        idempotent=route.kind == "idempotent",
+        by_method=False,
+        timeout_ms=int(route.timeout),
+        split=split,
+        rank=route.rank,
+        aim_ms=int(route.aim),
+        attempts=route.attempts,
+    )
+
+
+def _faults(model: _Config) -> list[str]:
+    faults = []
+    known = {service.name for service in model.services}
+    places = set()
+    for host in model.hosts:
+        for route in host.paths:
+            place = (host.hostname.lower(), route.prefix)
+            if place in places:
+                faults.append(f"route {route.name}: {place} is taken")
+            places.add(place)
+            named = [part.service for part in route.split or ()]
+            for service in named or [route.service]:
+                if service not in known:
+                    faults.append(f"route {route.name}: no service {service}")
+    return faults
--- /dev/null
+++ b/src/fulmarrudder/platform/directory.py
@@ -0,0 +1,65 @@
+"""Where instances find each other: a topic with a record for each node."""
+
+import json
+
+import pydantic
+
+from fulmarrudder.distribution import Peer
+from fulmarrudder.observe import logs
+from fulmarrudder.platform.errors import StoreError
+from fulmarrudder.platform.store import KeyedRecord, Store
+from fulmarrudder.platform.words import Address, Document
+
+TOPIC = "keyed.nodes"
+
+
+class _Entry(Document):
+    mesh: Address
+
+
+class Directory:
+    """The nodes that have written where they can be reached.
+
+    Attributes:
+        written: Whether this node has written its own record.
+    """
+
+    def __init__(self, store: Store, node: str, mesh_address: str):
+        self.store = store
+        self.node = node
+        self.mesh_address = mesh_address
+        self.written = False
+
+    async def peers(self) -> tuple[Peer, ...]:
+        """Writes this node's record once, and reads all others.
+
+        Raises:
+            StoreError: The store is away, or refuses.
+        """
+        if not self.written:
+            value = json.dumps({"mesh": self.mesh_address}).encode()
+            record = KeyedRecord(key=self.node, value=value)
+            await self.store.append(TOPIC, record)
+            self.written = True
+        found = await self.store.newest(TOPIC)
+        return tuple(filter(None, map(_peer, found.records)))
+
+    async def leave(self) -> None:
+        """Drops this node's record."""
+        try:
+            await self.store.append(
+                TOPIC, KeyedRecord(key=self.node, value=None)
+            )
+        except StoreError as error:
+            logs.warning("directory-not-left", detail=error)
+
+
+def _peer(record: KeyedRecord) -> Peer | None:
+    if record.value is None:
+        return None
+    try:
+        entry = _Entry.model_validate_json(record.value)
+    except pydantic.ValidationError as error:
+        logs.warning("directory-entry-refused", key=record.key, detail=error)
+        return None
+    return Peer(node=record.key, mesh_address=entry.mesh)
--- /dev/null
+++ b/src/fulmarrudder/platform/rollout.py
@@ -0,0 +1,93 @@
+"""Border of the operator's rollouts, and of the status that answers them."""
+
+import json
+
+import pydantic
+from expression import Error, Ok, Result
+
+from fulmarrudder.fold import Phase
+from fulmarrudder.move import Order, Verdict
+from fulmarrudder.platform.errors import DocumentError
+from fulmarrudder.platform.words import (
+    Document,
+    Milliseconds,
+    Name,
+    faults_in,
+)
+
+STATE_OF = {
+    Phase.RUNNING: "active",
+    Phase.COMPLETING: "active",
+    Phase.COMPLETED: "completed",
+    Phase.TAKING_BACK: "rolled_back",
+    Phase.TAKEN_BACK: "rolled_back",
+}
+
+
+class _Order(Document):
+    service: Name
+    # The version of the targets that the traffic is to be moved to.
+    target_version: Name = pydantic.Field(alias="targetVersion")
+    duration: Milliseconds = pydantic.Field(gt=0)
+
+
+class _Status(Document):
+    state: Name
+    target_version: Name = pydantic.Field(alias="targetVersion")
+
+
+def read_order(
+    data: bytes, *, offset: int, now: float
+) -> Result[Order, DocumentError]:
+    """Validates an order.
+
+    Args:
+        data: JSON.
+        offset: Offset of its record.
+        now: Wall-clock seconds of its arrival.
+    """
+    try:
+        model = _Order.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        return Error(DocumentError("; ".join(faults_in(error))))
+    return Ok(
+        Order(
+            id=f"{model.service}/{model.target_version}/{offset}",
+            service=model.service,
+            to_version=model.target_version,
+            deadline=now + model.duration / 1000,
+        )
+    )
+
+
+def read_verdict(
+    service: str, data: bytes
+) -> Result[Verdict | None, DocumentError]:
+    """Validates a status.
+
+    Args:
+        service: Service that it is about, from the key.
+        data: JSON.
+
+    Returns:
+        The verdict, or None while the move is under way.
+    """
+    try:
+        model = _Status.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        return Error(DocumentError("; ".join(faults_in(error))))
+    if model.state == STATE_OF[Phase.RUNNING]:
+        return Ok(None)
+    return Ok(
+        Verdict(
+            service=service,
+            to_version=model.target_version,
+            taken_back=model.state == STATE_OF[Phase.TAKEN_BACK],
+        )
+    )
+
+
+def write_status(phase: Phase, to_version: str) -> bytes:
+    """Encodes the status of a move."""
+    document = {"state": STATE_OF[phase], "targetVersion": to_version}
+    return json.dumps(document).encode()
