Choice by expected answer; one hop field; short moves; limits of callers

Nodes now tell load and pace with each answer, and the entry node compares when an answer is likely, with what a way to another data centre costs. Nine fields of a hop are one, since bytes between data centres are dear. Moves with less than a minute go by fewer shares.

--- a/src/fulmarrudder/call/choose.py
+++ b/src/fulmarrudder/call/choose.py
@@ -1,10 +1,12 @@
 """Filter: from a target version to the endpoint that serves the request.
 
 Health and load as targets report them lag or mislead, so the choice rests on
-what this node observes: requests it has outstanding, latencies, failures.
+what this node observes, and on what the nodes beside the targets tell with
+each answer: how many requests run or wait there, and how long one takes.
 """
 
 import dataclasses
+import math
 import random
 
 from fulmarrudder.model import Condition, Presence
@@ -18,10 +20,38 @@
 RAMP_FLOOR = 0.1
 # What an endpoint told of its load says nothing any more after this long.
 LOAD_FADES_S = 0.5
+# How much sooner an answer must be expected from another data centre than
+# from the own one: the way there and back, and what its bytes cost.
+AWAY_S = 0.02
+# Bytes of a body whose way to another data centre is worth another second.
+AWAY_BYTES_PER_S = 1_000_000
+# Part of requests failed that makes an endpoint look this much slower.
+FAILING_FACTOR = 20.0
+FAILING_WEIGHT = 0.1
+FAILING_FADES_S = 3.0
+# Nodes that know the same should not all choose the same endpoint.
+JITTER = 0.08
+# How long a request is taken to run where nothing has been told.
+FIRST_HELD_S = 0.1
+# Endpoints compared for a request; more would all pick the same one.
+COMPARED = 5
 PATIENCE_LEAST_S = 1.0
 PATIENCE_FACTOR = 20.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Told:
+    """What the node beside a target told of it.
+
+    Attributes:
+        load: Requests that ran or waited there.
+        held_s: How long one of them takes, once it runs.
+    """
+
+    load: int
+    held_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Observed:
     """What this node has seen of one endpoint.
@@ -30,27 +60,33 @@
         since: When it appeared or returned, in clock seconds.
         outstanding: Requests sent and not answered yet.
         latency_s: Moving average.
+        failing: Moving average of the part that failed.
         failures: Failures in a row.
         ejections: Ejections in a row.
         ejected_until: Clock seconds.
-        load: Requests that ran or waited there when it last told.
-        told: Clock seconds at which it did.
+        others: Requests of other nodes there, when it last told.
+        held_s: How long a request runs there, as far as it has told.
+        told_at: Clock seconds at which it last told.
+        failed_at: Clock seconds of the latest failure.
     """
 
     since: float
     outstanding: int = 0
     latency_s: float = FIRST_LATENCY_S
+    failing: float = 0.0
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
-    load: int = 0
-    told: float = 0.0
+    others: int = 0
+    held_s: float = FIRST_HELD_S
+    told_at: float = 0.0
+    failed_at: float = 0.0
 
     def occupancy(self, now: float) -> float:
         """Returns how many requests are likely to run or wait there."""
-        age = now - self.told
-        told = self.load * max(0.0, 1.0 - age / LOAD_FADES_S)
-        return max(told, self.outstanding)
+        age = now - self.told_at
+        others = self.others * max(0.0, 1.0 - age / LOAD_FADES_S)
+        return others + self.outstanding
 
 
 class Chooser:
@@ -72,6 +108,8 @@
         version: str | None,
         now: float,
         excluded: frozenset[str] = frozenset(),
+        *,
+        body_bytes: int = 0,
     ) -> Presence | None:
         """Chooses an endpoint of a target version.
 
@@ -80,19 +118,28 @@
             version: Target version wanted, or None for any.
             now: Clock seconds.
             excluded: Node ids already tried.
+            body_bytes: Size of the request's body.
 
         Returns:
             An endpoint, or None when there is none.
         """
         usable = self._usable(present, version, now, excluded)
+        if len(usable) <= 1:
+            return usable[0] if usable else None
+        away_s = AWAY_S + body_bytes / AWAY_BYTES_PER_S
+        compared = self._some_of(usable)
+        costs = [self._cost(presence, now, away_s) for presence in compared]
+        return compared[costs.index(min(costs))]
+
+    def _some_of(self, usable: list[Presence]) -> list[Presence]:
+        """Picks the endpoints to compare, near ones among them."""
+        if len(usable) <= COMPARED:
+            return self.rng.sample(usable, len(usable))
         near = [p for p in usable if p.data_centre == self.data_centre]
-        free = [p for p in near if self._has_room(p, now)]
-        if free:
-            return self._better_of_two(free, now)
-        free = [p for p in usable if self._has_room(p, now)]
-        if free:
-            return self._better_of_two(free, now)
-        return self._better_of_two(near or usable, now)
+        far = [p for p in usable if p.data_centre != self.data_centre]
+        of_near = min(len(near), max(COMPARED // 2 + 1, COMPARED - len(far)))
+        picked = self.rng.sample(near, of_near)
+        return picked + self.rng.sample(far, COMPARED - of_near)
 
     def _usable(self, present, version, now, excluded) -> list[Presence]:
         fit = []
@@ -118,38 +165,33 @@
             seen = self.observed[key] = Observed(now)
         return seen
 
-    def _has_room(self, presence: Presence, now: float) -> bool:
-        occupancy = self._seen(presence, now).occupancy(now)
-        return occupancy < max(1, presence.slots)
-
-    def _better_of_two(self, among: list[Presence], now: float):
-        if not among:
-            return None
-        if len(among) == 1:
-            return among[0]
-        first, second = self.rng.sample(among, 2)
-        if self._cost(second, now) < self._cost(first, now):
-            return second
-        return first
-
-    def _cost(self, presence: Presence, now: float) -> float:
+    def _cost(self, presence: Presence, now: float, away_s: float) -> float:
+        """Returns the seconds until an answer is likely, weighed."""
         seen = self._seen(presence, now)
-        age = now - seen.since
-        warmth = min(1.0, max(RAMP_FLOOR, age / RAMP_S))
-        load = (seen.occupancy(now) + 1) / max(1, presence.slots)
-        return seen.latency_s * load / warmth
-
-    def told(self, presence: Presence, now: float, load: int) -> None:
-        """Notes how busy an endpoint said that it was.
+        slots = max(1, presence.slots)
+        runs_s = max(seen.held_s, seen.latency_s)
+        short = max(0.0, seen.occupancy(now) + 1 - slots)
+        answer_s = runs_s * (1 + short / slots)
+        if presence.data_centre != self.data_centre:
+            answer_s += away_s
+        warmth = min(1.0, max(RAMP_FLOOR, (now - seen.since) / RAMP_S))
+        age = now - seen.failed_at
+        failing = seen.failing * math.exp(-age / FAILING_FADES_S)
+        trust = warmth / (1 + FAILING_FACTOR * failing**2)
+        return answer_s / trust * self.rng.uniform(1 - JITTER, 1 + JITTER)
+
+    def told(self, presence: Presence, now: float, told: Told) -> None:
+        """Notes what the node beside a target told of it.
 
         Args:
             presence: The endpoint.
             now: Clock seconds.
-            load: Requests that ran or waited there.
+            told: What it told; requests of this node are counted in.
         """
         seen = self._seen(presence, now)
-        seen.load = load
-        seen.told = now
+        seen.others = max(0, told.load - seen.outstanding)
+        seen.held_s = told.held_s
+        seen.told_at = now
 
     def sent(self, presence: Presence, now: float) -> None:
         """Notes that a request was sent."""
@@ -175,11 +217,13 @@
         """
         seen = self._seen(presence, now)
         seen.outstanding = max(0, seen.outstanding - 1)
+        seen.failing += FAILING_WEIGHT * (failed - seen.failing)
         if not failed:
             seen.failures = 0
             seen.ejections = 0
             seen.latency_s += EWMA_WEIGHT * (took_s - seen.latency_s)
             return
+        seen.failed_at = now
         seen.failures = EJECT_AFTER if gone else seen.failures + 1
         if seen.failures < EJECT_AFTER:
             return
--- a/src/fulmarrudder/call/ending.py
+++ b/src/fulmarrudder/call/ending.py
@@ -7,6 +7,7 @@
 from fulmarrudder.call.refusals import broken, late
 
 FAILED_FROM = 500
+PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 NOTHING_THERE = frozenset({RefusalReason.UNREACHABLE, RefusalReason.NO_TARGET})
 ENDPOINTS_FAULT = NOTHING_THERE | {
     RefusalReason.BROKEN,
@@ -104,5 +105,11 @@
         ran_before: Whether any attempt may have run the request.
     """
     if refusal.ran is Ran.NO and ran_before:
-        return dataclasses.replace(refusal, ran=Ran.UNKNOWN)
+        # A status that promises "not run" would be as untrue as the field.
+        status = refusal.status
+        if status in PROMISES_NOT_RUN:
+            status = 502
+        return dataclasses.replace(
+            refusal, ran=Ran.UNKNOWN, status=status, retry_after_s=None
+        )
     return refusal
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -8,7 +8,7 @@
 
 from fulmarrudder.call.answer import Answer, refused
 from fulmarrudder.call.body import RequestBody
-from fulmarrudder.call.choose import Chooser
+from fulmarrudder.call.choose import Chooser, Told
 from fulmarrudder.call.dialect import OWN, Dialect
 from fulmarrudder.call.ending import (
     Answered,
@@ -277,7 +277,9 @@
         now = self.clock.seconds()
         for wanted in versions:
             fit = tuple(p for p in present if wanted.admit(p.target_version))
-            chosen = self.chooser.choose(fit, None, now, call.tried)
+            chosen = self.chooser.choose(
+                fit, None, now, call.tried, body_bytes=call.head.length
+            )
             if chosen is not None:
                 return chosen
         return None
@@ -296,6 +298,8 @@
                     call, presence, elsewhere=elsewhere
                 )
                 self._note_load(presence, answer)
+            if presence.node == self.node:
+                self._note_own(presence)
             if isinstance(answer, LiveAnswer):
                 answer = await gather(answer, self.clock, call.deadline)
             tried = _tried_from(answer)
@@ -328,11 +332,15 @@
                 return True
         return False
 
+    def _note_own(self, presence: Presence) -> None:
+        told = Told(load=self.host.load, held_s=self.host.slots.held_s)
+        self.chooser.told(presence, self.clock.seconds(), told)
+
     def _note_load(self, presence: Presence, answer: Answer) -> None:
-        load = load_of(answer.head)
-        if load is None:
+        told = load_of(answer.head)
+        if told is None:
             return
-        self.chooser.told(presence, self.clock.seconds(), load)
+        self.chooser.told(presence, self.clock.seconds(), told)
         answer.head = without_load(answer.head)
 
     def _may_go_elsewhere(self, call: Call) -> bool:
--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -3,23 +3,19 @@
 Deadlines cross as the time left and are stored as deadlines on arrival.
 """
 
+import functools
+import urllib.parse
+
+from fulmarrudder.call.choose import Told
 from fulmarrudder.call.host import HostRequest
 from fulmarrudder.call.message import (
     ARRIVED_HEADER,
-    ELSEWHERE_HEADER,
-    FINGERPRINT_HEADER,
     IDEMPOTENCY_KEY_HEADER,
     LOAD_HEADER,
     PEER_HEADER,
-    PROMPT_HEADER,
     RAN_HEADER,
-    RANK_HEADER,
     REASON_HEADER,
-    REPEATABLE_HEADER,
     RETRY_AFTER_HEADER,
-    ROUTE_HEADER,
-    TARGET_HEADER,
-    TIME_LEFT_HEADER,
     Headers,
     Ran,
     Refusal,
@@ -32,6 +28,9 @@
 
 TIME_LEFT_LIMIT_MS = 24 * 3600 * 1000
 YES = b"yes"
+HOP_PARTS = 9
+# A name is led by a dash, so that an empty one is a part as well.
+LEAST_NAME = 2
 EXPECT = (b"expect", b"100-continue")
 
 
@@ -40,6 +39,9 @@
 ) -> RequestHead:
     """Builds the head that carries a request to another node.
 
+    One field carries all that nodes tell each other of a request, as bytes
+    between data centres are dear.
+
     Args:
         request: The request.
         token: Token by which nodes know each other.
@@ -47,29 +49,42 @@
         waits: Whether the body waits until the other node wants it.
     """
     left_ms = max(0, int((request.deadline - now) * 1000))
-    target = f"{request.service}/{request.target_version}".encode()
-    fields = [
-        (PEER_HEADER, token),
-        (TIME_LEFT_HEADER, b"%d" % left_ms),
-        (TARGET_HEADER, target),
-        (ROUTE_HEADER, request.route.encode()),
-        (FINGERPRINT_HEADER, request.fingerprint.encode()),
-    ]
-    if request.repeatable:
-        fields.append((REPEATABLE_HEADER, YES))
-    if request.rank:
-        fields.append((RANK_HEADER, b"%d" % request.rank))
+    prompt_ms = 0
     if request.prompt:
         prompt_ms = max(1, int((request.prompt - now) * 1000))
-        fields.append((PROMPT_HEADER, b"%d" % prompt_ms))
-    if request.elsewhere:
-        fields.append((ELSEWHERE_HEADER, YES))
+    flags = b"r" if request.repeatable else b""
+    flags += b"e" if request.elsewhere else b""
+    value = b" ".join(
+        (
+            token,
+            b"%d" % left_ms,
+            b"%d" % prompt_ms,
+            b"%d" % request.rank,
+            b"-" + flags,
+            _quoted(request.service),
+            _quoted(request.target_version),
+            _quoted(request.route),
+            request.fingerprint.encode(),
+        )
+    )
+    fields = [(PEER_HEADER, value)]
     if waits:
         fields.append(EXPECT)
     headers = request.head.headers.having(*fields)
     return request.head.with_headers(headers)
 
 
+@functools.lru_cache(maxsize=4_096)
+def _quoted(name: str) -> bytes:
+    return b"-" + urllib.parse.quote(name).encode()
+
+
+def token_of(head: RequestHead) -> bytes:
+    """Returns the token that a head from another node carries, or nothing."""
+    shown = head.headers.get(PEER_HEADER) or b""
+    return shown.partition(b" ")[0]
+
+
 def traced(head: RequestHead, traceparent: bytes | None) -> RequestHead:
     """Returns a head that names a span in its W3C field."""
     if traceparent is None:
@@ -89,52 +104,58 @@
     Returns:
         The request, or a refusal when fields are missing or wrong.
     """
-    headers = head.headers
-    left = headers.get(TIME_LEFT_HEADER) or b""
-    service, _, version = (headers.get(TARGET_HEADER) or b"").partition(b"/")
-    if not left.isdigit() or int(left) > TIME_LEFT_LIMIT_MS:
-        return malformed("time left is missing or wrong")
-    if not service or not version:
+    value = head.headers.get(PEER_HEADER) or b""
+    parts = value.split(b" ")
+    if len(parts) != HOP_PARTS:
+        return malformed("fields of the hop are missing")
+    _, left, prompt, rank, flags, service, version, route, fingerprint = parts
+    if not (left.isdigit() and prompt.isdigit() and rank.isdigit()):
+        return malformed("numbers of the hop are wrong")
+    if int(left) > TIME_LEFT_LIMIT_MS:
+        return malformed("time left is wrong")
+    if len(service) < LEAST_NAME or len(version) < LEAST_NAME:
         return malformed("target is missing")
-    repeatable = headers.get(REPEATABLE_HEADER) == YES
-    prompt_ms = _number(headers.get(PROMPT_HEADER))
-    key = b"" if repeatable else headers.get(IDEMPOTENCY_KEY_HEADER) or b""
+    repeatable = b"r" in flags
+    key = b"" if repeatable else head.headers.get(IDEMPOTENCY_KEY_HEADER) or b""
     return HostRequest(
         head=strip_own(head),
-        service=service.decode("latin-1"),
-        target_version=version.decode("latin-1"),
-        route=(headers.get(ROUTE_HEADER) or b"").decode("latin-1"),
-        fingerprint=(headers.get(FINGERPRINT_HEADER) or b"").decode("latin-1"),
+        service=_unquoted(service),
+        target_version=_unquoted(version),
+        route=_unquoted(route),
+        fingerprint=fingerprint.decode("latin-1"),
         key=key.decode("latin-1"),
         repeatable=repeatable,
         deadline=now + int(left) / 1000,
-        prompt=now + prompt_ms / 1000 if prompt_ms else 0.0,
-        rank=_number(headers.get(RANK_HEADER)),
-        elsewhere=headers.get(ELSEWHERE_HEADER) == YES,
+        prompt=now + int(prompt) / 1000 if int(prompt) else 0.0,
+        rank=int(rank),
+        elsewhere=b"e" in flags,
     )
 
 
-def _number(value: bytes | None) -> int:
-    return int(value) if value is not None and value.isdigit() else 0
+@functools.lru_cache(maxsize=4_096)
+def _unquoted(name: bytes) -> str:
+    return urllib.parse.unquote(name[1:].decode("latin-1"))
 
 
-def load_field(running: int, slots: int) -> tuple[bytes, bytes]:
+def load_field(load: int, held_s: float) -> tuple[bytes, bytes]:
     """Returns the field by which a node tells how busy its target is.
 
     Args:
-        running: Requests that run or wait there.
-        slots: Requests that the target serves at once.
+        load: Requests that run or wait there.
+        held_s: Seconds for which one of them holds its slot.
     """
-    return (LOAD_HEADER, b"%d/%d" % (running, slots))
+    return (LOAD_HEADER, b"%d/%d" % (load, max(1, held_s * 1000)))
 
 
-def load_of(head: ResponseHead) -> int | None:
-    """Returns how many requests ran or waited beside a node, if it tells."""
+def load_of(head: ResponseHead) -> Told | None:
+    """Returns what a node told of its target, if it did."""
     value = head.headers.get(LOAD_HEADER)
     if value is None:
         return None
-    running = value.partition(b"/")[0]
-    return int(running) if running.isdigit() else None
+    load, _, held_ms = value.partition(b"/")
+    if not load.isdigit() or not held_ms.isdigit():
+        return None
+    return Told(load=int(load), held_s=int(held_ms) / 1000)
 
 
 def without_load(head: ResponseHead) -> ResponseHead:
--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -4,18 +4,9 @@
 import enum
 
 PEER_HEADER = b"fulmarrudder-peer"
-TIME_LEFT_HEADER = b"fulmarrudder-time-left-ms"
 TIMEOUT_HEADER = b"fulmarrudder-timeout-ms"
-TARGET_HEADER = b"fulmarrudder-target"
-ROUTE_HEADER = b"fulmarrudder-route"
-FINGERPRINT_HEADER = b"fulmarrudder-fingerprint"
-REPEATABLE_HEADER = b"fulmarrudder-repeatable"
 RAN_HEADER = b"fulmarrudder-ran"
 ARRIVED_HEADER = b"fulmarrudder-arrived"
-CALLER_HEADER = b"fulmarrudder-caller"
-RANK_HEADER = b"fulmarrudder-rank"
-PROMPT_HEADER = b"fulmarrudder-prompt-ms"
-ELSEWHERE_HEADER = b"fulmarrudder-elsewhere"
 LOAD_HEADER = b"fulmarrudder-load"
 RETRY_AFTER_HEADER = b"retry-after"
 REASON_HEADER = b"fulmarrudder-reason"
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -81,6 +81,15 @@
         opening.addCallbacks(self._opened, self._failed)
 
     async def _open(self, peer: bool) -> Answer:
+        if self.head.length > self.factory.limits.body_bytes:
+            return refused(
+                Refusal(
+                    status=413,
+                    reason=RefusalReason.TOO_LARGE_BODY,
+                    ran=Ran.NO,
+                    detail="body is larger than the limit",
+                )
+            )
         if not peer:
             return await self.factory.entry.open(
                 self.head, self.body, self.ready, self.span
@@ -149,7 +158,7 @@
         head = answer.head
         if self.role == "host":
             host = self.factory.host
-            field = load_field(host.load, host.slots.capacity)
+            field = load_field(host.load, host.slots.held_s)
             return head.with_headers(head.headers.having(field))
         if getattr(answer, "refusal", None) is not None:
             return with_id(head, self.head, self.factory.entry.dialect)
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -13,9 +13,9 @@
 )
 from fulmarrudder.call.entry import Entry
 from fulmarrudder.call.errors import ProtocolError
+from fulmarrudder.call.hop import token_of
 from fulmarrudder.call.host import Host
 from fulmarrudder.call.message import (
-    PEER_HEADER,
     BodyEnd,
     BodyPart,
     Ran,
@@ -97,13 +97,16 @@
         """Closes connections that have been idle too long."""
         now = self.clock.seconds()
         for connection in tuple(self.connections):
-            if connection.call is None and connection.idle_until < now:
+            if connection.call is not None:
+                continue
+            if connection.decoder.head_bytes:
+                connection.check_head(now)
+            elif connection.idle_until < now:
                 connection.close_if_idle()
 
     def is_peer(self, head: RequestHead) -> bool:
         """Tells whether a head carries the nodes' token."""
-        shown = head.headers.get(PEER_HEADER) or b""
-        return hmac.compare_digest(shown, self.token)
+        return hmac.compare_digest(token_of(head), self.token)
 
 
 class CallConnection(Protocol):
@@ -112,6 +115,7 @@
     Attributes:
         call: The call under way, or None.
         idle_until: Clock seconds after which it is closed when idle.
+        head_until: Clock seconds until which a head that has begun must end.
     """
 
     def __init__(self, factory: CallFactory):
@@ -120,6 +124,7 @@
         self.events: collections.deque = collections.deque()
         self.call: ServedCall | None = None
         self.idle_until = 0.0
+        self.head_until = 0.0
         self.outlet: Outlet | None = None
         self.stalled = False
         self.closing = False
@@ -143,6 +148,9 @@
         """Decodes what came and serves it in order."""
         if self.closing:
             return
+        if not self.decoder.head_bytes:
+            limit_s = self.factory.limits.header_ms / 1000
+            self.head_until = self.factory.clock.seconds() + limit_s
         try:
             self.events.extend(self.decoder.feed(data))
         except ProtocolError as error:
@@ -180,6 +188,7 @@
         elif isinstance(event, BodyPart):
             if self.call is not None:
                 self.call.body.receive_part(event.data)
+                self._bound_body()
         elif isinstance(event, BodyEnd):
             call = self.call
             if call is not None:
@@ -188,6 +197,23 @@
         else:
             self._refuse_protocol(event)
 
+    def _bound_body(self) -> None:
+        if self.call.body.total > self.factory.limits.body_bytes:
+            self.call.caller_lost()
+            self.closing = True
+            self.transport.abortConnection()
+
+    def check_head(self, now: float) -> None:
+        """Refuses a request whose head takes too long.
+
+        Args:
+            now: Clock seconds.
+        """
+        if now > self.head_until and not self.closing:
+            self._refuse_protocol(
+                ProtocolError("request head took too long", status=408)
+            )
+
     def _refuse_protocol(self, error: ProtocolError) -> None:
         if self.call is not None:
             # The body of the call under way is malformed, so that nothing
@@ -201,6 +227,8 @@
             reason = RefusalReason.TOO_LARGE_HEADERS
         if error.status == 501:
             reason = RefusalReason.UNSUPPORTED
+        if error.status == 408:
+            reason = RefusalReason.NO_HEAD
         refusal = Refusal(
             status=error.status, reason=reason, ran=Ran.NO, detail=str(error)
         )
--- a/src/fulmarrudder/move/schedule.py
+++ b/src/fulmarrudder/move/schedule.py
@@ -12,6 +12,11 @@
 SHARES_PERMILLE = (10, 20, 50, 100, 250, 500, 1000)
 HOLD_WEIGHTS = (5, 5, 2, 1, 1, 1, 0)
 WHOLE_PERMILLE = 1000
+# A move that has less time goes by fewer shares; the first is held for most of
+# it, since a version may turn bad only after a while.
+SHORT_S = 60.0
+SHORT_PERMILLE = (60, 260, 520, 1000)
+SHORT_HOLDS = (0.42, 0.2, 0.25, 0.0)
 LEAST_HOLD_S = 2.0
 MOST_HOLD_S = 120.0
 SLACK_WEIGHT = 10
@@ -74,6 +79,8 @@
     left_s = move.deadline - wall
     if move.permille == 0:
         return _first(left_s)
+    if move.permille in SHORT_PERMILLE:
+        return _next_short(move, finding, held_s=held_s, left_s=left_s)
     if left_s <= 0:
         doubt = f"; in doubt: {finding.doubt}" if finding.doubt else ""
         return GiveUp(
@@ -96,6 +103,28 @@
     return Raise(permille=following)
 
 
+def _next_short(
+    move: Move, finding: Finding, *, held_s: float, left_s: float
+) -> Action:
+    if left_s <= 0:
+        return GiveUp(
+            route="", reason=f"deadline passed at {move.permille} permille"
+        )
+    if finding.doubt:
+        return Wait(missing=f"an end to doubt: {finding.doubt}")
+    place = SHORT_PERMILLE.index(move.permille)
+    hold_s = SHORT_HOLDS[place] * (left_s + held_s)
+    if held_s < hold_s:
+        return Wait(missing=f"{hold_s - held_s:.1f} s at this share")
+    if finding.requests < REQUESTS_LEAST:
+        missing = REQUESTS_LEAST - finding.requests
+        return Wait(missing=f"{missing} requests on the new version")
+    following = SHORT_PERMILLE[place + 1]
+    if following == WHOLE_PERMILLE:
+        return Finish()
+    return Raise(permille=following)
+
+
 def hold_for(permille: int, left_s: float) -> float:
     """Returns how long a share is held.
 
@@ -122,6 +151,8 @@
 def _first(left_s: float) -> Action:
     if left_s <= 0:
         return GiveUp(route="", reason="deadline passed before the first step")
+    if left_s < SHORT_S:
+        return Raise(permille=SHORT_PERMILLE[0])
     return Raise(permille=SHARES_PERMILLE[0])
 
 
--- a/src/fulmarrudder/node/member.py
+++ b/src/fulmarrudder/node/member.py
@@ -65,6 +65,10 @@
 # Part of the fleet's budget of retries that nodes may use: calls that a
 # repeated request makes are repeats as well.
 RETRY_PART = 0.4
+# Nodes that seek the controller's duty, the first by their ids: enough that
+# one is left when several are lost at once, few enough to cost the store little.
+CANDIDATES = 4
+PRESENT = frozenset({Condition.READY, Condition.ABSENT})
 # A target's silence says little beside what its connections show.
 SILENCE_S = 15.0
 
@@ -284,7 +288,14 @@
 
     def wants_term(self) -> bool:
         """Tells whether this node should seek the controller's duty."""
-        return bool(self.open_moves()) and not self.host.leaving
+        if not self.open_moves() or self.host.leaving:
+            return False
+        nodes = sorted(
+            presence.node
+            for presence in self.facts.all_of(Presence)
+            if presence.condition in PRESENT
+        )
+        return self.place.node in nodes[:CANDIDATES]
 
     def tick(self) -> None:
         """Does what is due; called several times a second."""
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -27,7 +27,7 @@
 SETTINGS_VARIABLE = "FULMARRUDDER_BOOT"
 # Nodes of one fleet share the platform's network; the token only keeps apart
 # what callers send from what nodes send.
-TOKEN = b"fulmarrudder-node"
+TOKEN = b"fr1"
 TICK_S = 0.25
 REPORT_S = 0.5
 SWEEP_S = 2.0
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -17,7 +17,9 @@
 
 # A read waits this long for a record: a store that has gone silent is noticed
 # soon after, and waiting costs the store next to nothing.
-WAIT_S = 3.0
+WAIT_S = 5.0
+# Records that follow each other closely are read together.
+PAUSE_S = 0.4
 RETRY_BASE_S = 0.1
 RETRY_LIMIT_S = 1.0
 
@@ -29,6 +31,7 @@
         topic: The topic.
         next_offset: Offset of the next record; -1 before the first answer.
         available: Whether the store answered the latest call.
+        heard: Whether the latest answer held records.
     """
 
     def __init__(
@@ -46,6 +49,7 @@
         self.on_record = on_record
         self.next_offset = -1
         self.available = False
+        self.heard = False
         self.backoff = Backoff(
             base_s=RETRY_BASE_S, limit_s=RETRY_LIMIT_S, rng=rng
         )
@@ -77,6 +81,8 @@
                 await self._sleep(self.backoff.next_delay())
             else:
                 self._note_back()
+                if self.heard:
+                    await self._sleep(PAUSE_S)
 
     async def _step(self) -> None:
         if self.next_offset < 0:
@@ -86,6 +92,7 @@
         for record in found.records:
             self.on_record(record)
         self.next_offset = found.end
+        self.heard = bool(found.records)
 
     def _note_away(self, error: StoreError) -> None:
         if self.available or not self.backoff.failures:
