Admission by kind of request: nested calls first, late answers only where there is room

Calls that the target beside a node makes now come first and count until their deadline; the time that a request takes is learned by route; a caller's second try counts the time that it has already waited.

Ruled out: capacity of caja (5 of 23,714 arrivals were turned away by it).

--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -28,7 +28,7 @@
 from fulmarrudder.call.hop import load_of, without_load
 from fulmarrudder.call.host import Host, LiveAnswer
 from fulmarrudder.call.message import Refusal, RefusalReason, RequestHead
-from fulmarrudder.call.plan import Call, plan
+from fulmarrudder.call.plan import Call, Patience, plan
 from fulmarrudder.call.refusals import not_run
 from fulmarrudder.call.retry import (
     BUDGET_LIMIT,
@@ -125,6 +125,7 @@
         self.metrics = metrics
         self.budgets: dict[str, RetryBudget] = {}
         self.budget_ratio = BUDGET_RATIO
+        self.patience = Patience()
         self.budget_limit = BUDGET_LIMIT
         self.sender = Sender(
             clock=clock,
@@ -137,7 +138,13 @@
         self.steps = (screen, self._arranged, self._match)
 
     async def open(
-        self, head: RequestHead, body: RequestBody, ready, span
+        self,
+        head: RequestHead,
+        body: RequestBody,
+        ready,
+        span,
+        *,
+        nested: bool = False,
     ) -> Answer:
         """Serves one call.
 
@@ -146,6 +153,7 @@
             body: Its body.
             ready: Called once the body is wanted.
             span: Span of the call, or None.
+            nested: Whether the target beside this node makes it.
 
         Returns:
             The target's answer, or a refusal.
@@ -163,6 +171,8 @@
             traceparent=self.spans.traceparent(span),
             dialect=self.dialect,
             caller=self.caller(),
+            nested=nested,
+            patience=self.patience,
         )
         if isinstance(call, Refusal):
             return refused(call)
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -168,6 +168,7 @@
             deadline=request.deadline,
             prompt=request.prompt,
             rank=request.rank,
+            kind=request.route,
             elsewhere=request.elsewhere,
         )
         granted = self.slots.acquire(request.deadline, ask)
@@ -183,7 +184,7 @@
         if refusal is not None:
             self.slots.release()
             return refused(refusal)
-        hold = _Hold(self)
+        hold = _Hold(self, request.route)
         try:
             if not request.key:
                 return await self._run(request, body, ready, hold)
@@ -386,10 +387,11 @@
 class _Hold:
     """A slot in use, given back once whatever comes first."""
 
-    __slots__ = ("exchange", "host", "open", "shared", "started")
+    __slots__ = ("exchange", "host", "kind", "open", "shared", "started")
 
-    def __init__(self, host: Host):
+    def __init__(self, host: Host, kind: str):
         self.host = host
+        self.kind = kind
         self.exchange: Exchange | None = None
         self.open = True
         self.shared = False
@@ -420,7 +422,7 @@
         if self.open:
             self.open = False
             self.host.in_flight -= 1
-            self.host.slots.release(held_s)
+            self.host.slots.release(held_s, self.kind)
 
 
 def _pass_to(result, waiting: Deferred) -> None:
--- a/src/fulmarrudder/call/plan.py
+++ b/src/fulmarrudder/call/plan.py
@@ -38,6 +38,7 @@
         prompt: Clock seconds until which its answer is worth most, or 0.
         arrivals: Attempts that may have reached a target.
         id: The caller's id of the request, or empty.
+        rank: Urgency among requests; 0 is the most urgent.
     """
 
     head: RequestHead
@@ -56,6 +57,7 @@
     prompt: float = 0.0
     arrivals: int = 0
     id: str = ""
+    rank: int = 0
 
     def request_to(
         self, presence: Presence, *, elsewhere: bool = False
@@ -76,11 +78,35 @@
             repeatable=self.idempotent,
             deadline=self.deadline,
             prompt=self.prompt,
-            rank=self.route.rank,
+            rank=self.rank,
             elsewhere=elsewhere,
         )
 
 
+class Patience:
+    """How long callers wait at their first try, learned by route.
+
+    A caller that tries again says how long it still waits; what is missing to
+    the longest wait on its route has passed since it first asked.
+
+    Attributes:
+        longest: Longest wait seen, in milliseconds, by route.
+    """
+
+    __slots__ = ("longest",)
+
+    def __init__(self):
+        self.longest: dict[str, int] = {}
+
+    def spent(self, route: str, asked_ms: int) -> int:
+        """Returns the milliseconds that a caller has waited so far."""
+        longest = self.longest.get(route, 0)
+        if asked_ms >= longest:
+            self.longest[route] = asked_ms
+            return 0
+        return longest - asked_ms
+
+
 def plan(
     routed: Routed,
     body: RequestBody,
@@ -91,6 +117,8 @@
     traceparent: bytes | None,
     dialect: Dialect = OWN,
     caller: str = "",
+    nested: bool = False,
+    patience: Patience,
 ) -> Call | Refusal:
     """Plans a call.
 
@@ -103,26 +131,36 @@
         traceparent: Field that names the span, or None.
         dialect: Field names.
         caller: Service beside this node.
+        nested: Whether the target beside this node makes the call, while it
+            runs a request that waits for it.
+        patience: How long callers wait at first.
     """
     head, route = routed.head, routed.route
     timeout_ms = route.timeout_ms
     asked = head.headers.get(dialect.time_left)
+    spent_ms = 0
     if asked is not None:
         if not asked.isdigit():
             return malformed("timeout is not a whole number")
         timeout_ms = min(timeout_ms, int(asked))
+        spent_ms = patience.spent(route.name, int(asked))
     idempotent = route.idempotent or (
         route.by_method and head.method in SAFE_METHODS
     )
     key = head.headers.get(IDEMPOTENCY_KEY_HEADER) or b""
     if len(key) > KEY_LIMIT:
         return malformed("Idempotency-Key is too long")
-    aim_s = route.aim_ms / 1000
+    # A request that waits for a nested call holds a slot meanwhile, so that
+    # such calls come first; they are of use until their deadline.
+    prompt = 0.0
+    if route.aim_ms and not nested:
+        prompt = arrived + (route.aim_ms - spent_ms) / 1000
     head = from_caller(traced(strip_own(head), traceparent), dialect, caller)
     return Call(
         head=head,
         service=routed.service,
-        prompt=arrived + aim_s if aim_s else 0.0,
+        prompt=prompt,
+        rank=0 if nested else route.rank + 1,
         id=_text(head.headers.get(dialect.request_id)),
         route=route,
         body=body,
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -92,7 +92,11 @@
             )
         if not peer:
             return await self.factory.entry.open(
-                self.head, self.body, self.ready, self.span
+                self.head,
+                self.body,
+                self.ready,
+                self.span,
+                nested=self.factory.is_target(self.transport),
             )
         if not self.factory.is_peer(self.head):
             return refused(
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -22,6 +22,9 @@
 # Part of a slot's usual time that a request may be expected to wait when it
 # could go elsewhere: less than the cost of asking another node.
 ELSEWHERE_WAIT = 0.15
+# Part of its own time that a request may be expected to wait although it will
+# be late: short of that there is room for it, and a late answer beats none.
+LATE_WAIT = 0.5
 # A caller that is turned away comes back no sooner than this.
 RETRY_LEAST_S = 0.02
 
@@ -35,12 +38,14 @@
         prompt: Clock seconds until which the answer is worth most; 0 when
             only the deadline counts.
         rank: Urgency; 0 is the most urgent.
+        kind: What sort of request it is; those of a sort take as long.
         elsewhere: Whether another target may well have room.
     """
 
     deadline: float
     prompt: float = 0.0
     rank: int = 0
+    kind: str = ""
     elsewhere: bool = False
 
 
@@ -60,6 +65,7 @@
         taken: Slots in use.
         queued: Requests that wait for a slot.
         held_s: Moving average of the time that a request holds its slot.
+        held_by: The same, by kind of request.
     """
 
     def __init__(self, clock: Clock):
@@ -68,6 +74,7 @@
         self.taken = 0
         self.queued = 0
         self.held_s = FIRST_HELD_S
+        self.held_by: dict[str, float] = {}
         self.heap: list[tuple[int, float, int, _Waiter]] = []
         self.order = itertools.count()
 
@@ -118,9 +125,14 @@
         if self.queued >= self.capacity * QUEUE_PER_SLOT:
             return "queue is full"
         wait = self.expected_wait(ask.rank)
+        held = self.held_by.get(ask.kind, self.held_s)
         if ask.elsewhere and wait > ELSEWHERE_WAIT * self.held_s:
             return "another target may have room"
-        if ask.prompt and now + wait + self.held_s > ask.prompt:
+        if now + wait + held > ask.deadline:
+            return "queue is too long for the time left"
+        if not ask.prompt or wait <= LATE_WAIT * held:
+            return ""
+        if now + wait + held > ask.prompt:
             return "queue is too long to be prompt"
         return ""
 
@@ -133,15 +145,18 @@
         self.queued += 1
         return waiter.granted
 
-    def release(self, held_s: float | None = None) -> None:
+    def release(self, held_s: float | None = None, kind: str = "") -> None:
         """Gives a slot back.
 
         Args:
             held_s: How long it was held, when that says something about the
                 target's pace.
+            kind: What sort of request held it.
         """
         if held_s is not None:
             self.held_s += HELD_WEIGHT * (held_s - self.held_s)
+            known = self.held_by.get(kind, held_s)
+            self.held_by[kind] = known + HELD_WEIGHT * (held_s - known)
         self.taken -= 1
         self._grant()
 
--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -1,13 +1,13 @@
 """Pipeline of facts in a fleet without relays: each node tells a few others.
 
-Nodes stand on a ring by their ids, and each keeps links to the nodes at
-distances of powers of two, so that a fact reaches everyone in a few steps.
+Nodes of a data centre are linked with one another; two of each are linked with
+two of every other, so that a fact crosses between two data centres twice.
 """
 
 import collections
 import dataclasses
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 
 from twisted.internet.protocol import Factory
@@ -37,12 +37,12 @@
 )
 from fulmarrudder.observe import Metrics, logs
 
-# Nodes that are all linked with one another; larger fleets keep fewer links.
-ALL_LINKED = 9
+# Nodes of a data centre that keep links to other ones: one may be lost.
+GATEWAYS = 2
 # Facts that are not urgent wait this long for others to go with them.
 FLUSH_S = 0.05
 # A node whose link broke and is not back by then is taken as lost.
-LOST_GRACE_S = 2.0
+LOST_GRACE_S = 3.0
 RETRY_BASE_S = 0.2
 RETRY_LIMIT_S = 2.0
 FACTS_PER_MESSAGE = 200
@@ -51,10 +51,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Peer:
-    """A node that may be dialled."""
+    """A node that may be dialled.
+
+    Attributes:
+        lost: Whether it is taken as lost.
+    """
 
     node: str
+    data_centre: str
     mesh_address: str
+    lost: bool = False
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -65,27 +71,40 @@
     link: Link | None = None
 
 
-def neighbours(node: str, others: frozenset[str]) -> frozenset[str]:
+def neighbours(me: Peer, others: Iterable[Peer]) -> frozenset[str]:
     """Chooses the nodes that a node keeps links to; pure.
 
+    Within a data centre all are linked. Between two, the first nodes by their
+    ids are: the first with the first, the second with the second.
+
     Args:
-        node: The node.
+        me: The node.
         others: All other nodes.
 
     Returns:
-        Nodes to link with; the relation is the same from both sides.
+        Ids of the nodes to link with; the relation is the same from both
+        sides that know the same nodes.
     """
-    if len(others) < ALL_LINKED:
-        return others
-    ring = sorted((*others, node))
-    place, size = ring.index(node), len(ring)
     chosen = set()
-    step = 1
-    while step < size:
-        chosen.add(ring[(place + step) % size])
-        chosen.add(ring[(place - step) % size])
-        step *= 2
-    chosen.discard(node)
+    by_place: dict[str, list[str]] = {me.data_centre: [me.node]}
+    for other in others:
+        if other.data_centre == me.data_centre:
+            chosen.add(other.node)
+        if not other.lost:
+            by_place.setdefault(other.data_centre, []).append(other.node)
+    gateways = {
+        place: sorted(nodes)[:GATEWAYS] for place, nodes in by_place.items()
+    }
+    own = gateways.pop(me.data_centre)
+    if me.node not in own:
+        return frozenset(chosen)
+    mine = own.index(me.node)
+    for theirs in gateways.values():
+        for index, node in enumerate(theirs):
+            if index == min(mine, len(theirs) - 1):
+                chosen.add(node)
+            elif mine == min(index, len(own) - 1):
+                chosen.add(node)
     return frozenset(chosen)
 
 
@@ -160,7 +179,12 @@
         if self.stopped:
             return
         peers = self._peers()
-        wanted = neighbours(self.node, frozenset(peers))
+        me = Peer(
+            node=self.node,
+            data_centre=self.data_centre,
+            mesh_address=self.mesh_address,
+        )
+        wanted = neighbours(me, peers.values())
         now = self.clock.seconds()
         for node in tuple(self.dialling):
             if node not in wanted:
@@ -169,7 +193,7 @@
             # Of two neighbours the one with the lower id dials.
             if self.node < node and node not in self.links:
                 self._ensure(peers[node], now)
-        self._declare_lost(now)
+        self._declare_lost(now, wanted)
 
     def ask(self) -> None:
         """Asks another node for a configuration newer than the one held."""
@@ -209,7 +233,10 @@
         peers = dict(self.known)
         for presence in self.facts.all_of(Presence):
             peers[presence.node] = Peer(
-                node=presence.node, mesh_address=presence.mesh_address
+                node=presence.node,
+                data_centre=presence.data_centre,
+                mesh_address=presence.mesh_address,
+                lost=presence.condition is Condition.LOST,
             )
         peers.pop(self.node, None)
         return peers
@@ -230,9 +257,10 @@
         if dialling.link is not None:
             dialling.link.close()
 
-    def _declare_lost(self, now: float) -> None:
+    def _declare_lost(self, now: float, wanted: frozenset[str]) -> None:
         for node, due in tuple(self.doubted.items()):
-            if node in self.links:
+            # A link that neither side wants any more says nothing.
+            if node in self.links or node not in wanted:
                 del self.doubted[node]
                 continue
             if now < due:
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -12,6 +12,7 @@
 
 from fulmarrudder import __version__
 from fulmarrudder.clock import wall_seconds
+from fulmarrudder.distribution import Peer
 from fulmarrudder.node.member import Member, Place
 from fulmarrudder.observe import logs
 from fulmarrudder.platform.directory import Directory
@@ -33,6 +34,8 @@
 SWEEP_S = 2.0
 LEASE_S = 0.2
 FIND_S = 0.5
+# Nodes that start together have all written their records by then.
+FIND_AGAIN_S = 1.0
 # Nodes that know each other ask the store for others this seldom.
 FIND_SELDOM_S = 20.0
 SETTINGS_S = 1.0
@@ -81,9 +84,12 @@
         self.operator.store = self.store
         self.operator.member = self.member
         self.lease.store = self.store
-        self.directory = Directory(
-            self.store, machine.node, machine.mesh_address
+        own = Peer(
+            node=machine.node,
+            data_centre=machine.data_centre,
+            mesh_address=machine.mesh_address,
         )
+        self.directory = Directory(self.store, own)
         self.tail = Tail(
             store=self.store,
             clock=reactor,
@@ -159,7 +165,8 @@
         for peer in peers:
             if peer.node != self.machine.node:
                 self.member.gossip.known[peer.node] = peer
-        if self.member.gossip.links:
+        self.find_due = self.reactor.seconds() + FIND_AGAIN_S
+        if not first and self.member.gossip.links:
             self.find_due = self.reactor.seconds() + FIND_SELDOM_S
 
     def _found(self, _) -> None:
--- a/src/fulmarrudder/platform/directory.py
+++ b/src/fulmarrudder/platform/directory.py
@@ -1,20 +1,19 @@
 """Where instances find each other: a topic with a record for each node."""
 
-import json
-
 import pydantic
 
 from fulmarrudder.distribution import Peer
 from fulmarrudder.observe import logs
 from fulmarrudder.platform.errors import StoreError
 from fulmarrudder.platform.store import KeyedRecord, Store
-from fulmarrudder.platform.words import Address, Document
+from fulmarrudder.platform.words import Address, Document, Name
 
 TOPIC = "keyed.nodes"
 
 
 class _Entry(Document):
     mesh: Address
+    data_centre: Name
 
 
 class Directory:
@@ -24,10 +23,9 @@
         written: Whether this node has written its own record.
     """
 
-    def __init__(self, store: Store, node: str, mesh_address: str):
+    def __init__(self, store: Store, own: Peer):
         self.store = store
-        self.node = node
-        self.mesh_address = mesh_address
+        self.own = own
         self.written = False
 
     async def peers(self) -> tuple[Peer, ...]:
@@ -37,8 +35,11 @@
             StoreError: The store is away, or refuses.
         """
         if not self.written:
-            value = json.dumps({"mesh": self.mesh_address}).encode()
-            record = KeyedRecord(key=self.node, value=value)
+            entry = _Entry(
+                mesh=self.own.mesh_address, data_centre=self.own.data_centre
+            )
+            value = entry.model_dump_json().encode()
+            record = KeyedRecord(key=self.own.node, value=value)
             await self.store.append(TOPIC, record)
             self.written = True
         found = await self.store.newest(TOPIC)
@@ -48,7 +49,7 @@
         """Drops this node's record."""
         try:
             await self.store.append(
-                TOPIC, KeyedRecord(key=self.node, value=None)
+                TOPIC, KeyedRecord(key=self.own.node, value=None)
             )
         except StoreError as error:
             logs.warning("directory-not-left", detail=error)
@@ -62,4 +63,8 @@
     except pydantic.ValidationError as error:
         logs.warning("directory-entry-refused", key=record.key, detail=error)
         return None
-    return Peer(node=record.key, mesh_address=entry.mesh)
+    return Peer(
+        node=record.key,
+        data_centre=entry.data_centre,
+        mesh_address=entry.mesh,
+    )
--- a/tests/call/test_ending.py
+++ b/tests/call/test_ending.py
@@ -52,3 +52,10 @@
     refusal = declined(RefusalReason.NO_TARGET).refusal
     assert truthful(refusal, ran_before=False).ran is Ran.NO
     assert truthful(refusal, ran_before=True).ran is Ran.UNKNOWN
+
+
+def test_status_promises_not_run_only_if_no_attempt_may_have_run():
+    """Played day trouble-2: a request that was cut was answered 503."""
+    refusal = declined(RefusalReason.NO_TARGET).refusal
+    assert truthful(refusal, ran_before=False).status == 503
+    assert truthful(refusal, ran_before=True).status == 502
