Gossip: a node that starts dials its neighbours itself; refusals are logged

It now dials for its first seconds, and is ready once it knows another node. Each refusal is one line with its inputs, bounded a second.

--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -185,8 +185,33 @@
                 ("reason", refusal.reason.value),
                 ("ran", refusal.ran.value),
             )
+            self._write_refusal(refusal, took)
         self.factory.spans.end(self.span, status=status)
 
+    def _write_refusal(self, refusal: Refusal, took: float) -> None:
+        if refusal.reason is RefusalReason.BUSY and self.role == "host":
+            # The entry node asks elsewhere; what comes of it is one line there.
+            return
+        factory = self.factory
+        name = factory.entry.dialect.request_id
+        asked = self.head.headers.get(name) if name else None
+        state = factory.entry.in_force.state
+        factory.lines.info(
+            factory.clock.seconds(),
+            "call-refused",
+            role=self.role,
+            request=asked.decode("latin-1") if asked else "-",
+            path=self.head.target.decode("latin-1"),
+            reason=refusal.reason.value,
+            ran=refusal.ran.value,
+            status=refusal.status,
+            detail=refusal.detail,
+            took_ms=round(took * 1000, 1),
+            version=state.version if state else 0,
+            running=factory.host.slots.taken,
+            queued=factory.host.slots.queued,
+        )
+
     def _failed(self, failure) -> None:
         if failure.check(CancelledError) is None:
             logs.error(
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -27,7 +27,7 @@
 from fulmarrudder.call.outlet import Outlet
 from fulmarrudder.call.served import ServedCall
 from fulmarrudder.model import Limits
-from fulmarrudder.observe import Metrics, Spans
+from fulmarrudder.observe import Metrics, Spans, logs
 
 QUEUE_LIMIT = 64
 
@@ -37,6 +37,7 @@
 
     Attributes:
         connections: Connections that are open.
+        lines: Writes what became of single calls.
         limits: What callers may send, and how long they may stay idle.
         leaving: Whether connections close once they are idle.
         active: Calls under way.
@@ -65,6 +66,7 @@
         self.limits = Limits()
         self.active = 0
         self.idle: list[Deferred] = []
+        self.lines = logs.Bounded()
 
     def buildProtocol(self, addr):  # noqa: N802
         """Builds the protocol of one connection."""
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -21,7 +21,7 @@
 FIRST_HELD_S = 0.05
 # Part of a slot's usual time that a request may be expected to wait when it
 # could go elsewhere: less than the cost of asking another node.
-ELSEWHERE_WAIT = 0.15
+ELSEWHERE_WAIT = 0.25
 # Part of its own time that a request may be expected to wait although it will
 # be late: short of that there is room for it, and a late answer beats none.
 LATE_WAIT = 0.5
--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -43,6 +43,8 @@
 FLUSH_S = 0.05
 # A node whose link broke and is not back by then is taken as lost.
 LOST_GRACE_S = 3.0
+# A node that has just started dials all its neighbours for this long.
+NEW_S = 3.0
 RETRY_BASE_S = 0.2
 RETRY_LIMIT_S = 2.0
 FACTS_PER_MESSAGE = 200
@@ -152,6 +154,7 @@
         self.outbox: dict[Link, dict] = collections.defaultdict(dict)
         self.flushing = None
         self.stopped = False
+        self.new_until = clock.seconds() + NEW_S
 
     def listener(self) -> Factory:
         """Returns the factory of links that other nodes open."""
@@ -190,8 +193,11 @@
             if node not in wanted:
                 self._give_up(node)
         for node in wanted:
-            # Of two neighbours the one with the lower id dials.
-            if self.node < node and node not in self.links:
+            # Of two neighbours the one with the lower id dials, unless the
+            # other is new and nobody can know it yet.
+            if node in self.links:
+                continue
+            if self.node < node or now < self.new_until:
                 self._ensure(peers[node], now)
         self._declare_lost(now, wanted)
 
@@ -296,10 +302,13 @@
         before = self.links.get(message.node)
         link.node = message.node
         link.data_centre = message.data_centre
-        self.links[message.node] = link
         self.doubted.pop(message.node, None)
         if before is not None and before is not link:
+            if self._ours(before) and not self._ours(link):
+                link.close()
+                return
             before.close()
+        self.links[message.node] = link
         if message.node in self.dialling:
             self.dialling[message.node].backoff.reset()
         if not link.dialled:
@@ -324,6 +333,10 @@
     def _(self, message: Document, link: Link) -> None:
         self.on_document(message)
 
+    def _ours(self, link: Link) -> bool:
+        """Tells whether the side that should dial a link has dialled it."""
+        return link.dialled == (self.node < link.node)
+
     def _ask(self, link: Link) -> None:
         held = self.held()
         self.metrics.count("fulmarrudder_resyncs_total")
--- a/src/fulmarrudder/node/member.py
+++ b/src/fulmarrudder/node/member.py
@@ -69,6 +69,8 @@
 # one is left when several are lost at once, few enough to cost the store little.
 CANDIDATES = 4
 PRESENT = frozenset({Condition.READY, Condition.ABSENT})
+# A node that has found no other by then serves with what is beside it.
+ALONE_S = 3.0
 # A target's silence says little beside what its connections show.
 SILENCE_S = 15.0
 
@@ -166,6 +168,8 @@
         self.shown: Presence | None = None
         self.evidence_count = 0
         self.step = 0
+        self.acquainted = False
+        self.alone_from = reactor.seconds() + ALONE_S
         self.decided: dict[str, float] = {}
         self.gossip = Gossip(
             clock=reactor,
@@ -228,8 +232,16 @@
 
     @property
     def serving(self) -> bool:
-        """Whether a version is in force and the node is not leaving."""
-        return self.entry.in_force.table is not None and not self.host.leaving
+        """Whether the node may be given callers.
+
+        It may once a version is in force and it knows other nodes, or has
+        looked for them long enough; and not while it leaves.
+        """
+        if self.entry.in_force.table is None or self.host.leaving:
+            return False
+        if self.gossip.links:
+            self.acquainted = True
+        return self.acquainted or self.clock.seconds() > self.alone_from
 
     def take_arrangement(
         self, document: Document, arrangement: Arrangement
--- a/src/fulmarrudder/observe/logs.py
+++ b/src/fulmarrudder/observe/logs.py
@@ -8,6 +8,10 @@
 
 LOGGER = logging.getLogger("fulmarrudder")
 _RENAMED = {"asctime": "time", "levelname": "level", "message": "event"}
+# Lines about single calls that a node writes in a second, and at once: about
+# 4 KB a second, well below what a call costs otherwise.
+LINES_PER_S = 20.0
+BURST_LINES = 60.0
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+@,T"
 )
@@ -44,6 +48,45 @@
     LOGGER.propagate = False
 
 
+class Bounded:
+    """Writes events of calls, a bounded number a second.
+
+    What is over the bound is counted, and the count is written once there is
+    room again, so that load never makes the log the bottleneck.
+
+    Attributes:
+        tokens: Lines that may be written now.
+        dropped: Lines left out since the last one written.
+    """
+
+    __slots__ = ("dropped", "filled", "tokens")
+
+    def __init__(self):
+        self.tokens = BURST_LINES
+        self.filled = 0.0
+        self.dropped = 0
+
+    def info(self, now: float, event: str, **fields) -> None:
+        """Writes an event unless there were too many lately.
+
+        Args:
+            now: Monotonic seconds.
+            event: Name of the event.
+            **fields: What belongs to it.
+        """
+        gained = (now - self.filled) * LINES_PER_S
+        self.tokens = min(BURST_LINES, self.tokens + gained)
+        self.filled = now
+        if self.tokens < 1:
+            self.dropped += 1
+            return
+        self.tokens -= 1
+        if self.dropped:
+            info("lines-dropped", count=self.dropped)
+            self.dropped = 0
+        info(event, **fields)
+
+
 def info(event: str, **fields) -> None:
     """Writes an event that is part of ordinary work."""
     LOGGER.info({"message": event, **fields})
