--- a/src/fulmarrudder/call/choose.py
+++ b/src/fulmarrudder/call/choose.py
@@ -25,9 +25,9 @@
 AWAY_S = 0.02
 # The same as a part of the latency that the caller hopes for: an answer that
 # comes soon enough from the own data centre need not come sooner.
-AWAY_PART = 0.25
+AWAY_PART = 0.05
 # Bytes of a body whose way to another data centre is worth another second.
-AWAY_BYTES_PER_S = 1_000_000
+AWAY_BYTES_PER_S = 200_000
 # Part of requests failed that makes an endpoint look this much slower.
 FAILING_FACTOR = 20.0
 FAILING_WEIGHT = 0.1
@@ -36,6 +36,9 @@
 JITTER = 0.08
 # How long a request is taken to run where nothing has been told.
 FIRST_HELD_S = 0.1
+# One choice in so many goes to an endpoint that has told nothing yet: what is
+# never asked is never known.
+ACQUAINT_IN = 8
 # Endpoints compared for a request; more would all pick the same one.
 COMPARED = 5
 PATIENCE_LEAST_S = 1.0
@@ -131,6 +134,10 @@
         usable = self._usable(present, version, now, excluded)
         if len(usable) <= 1:
             return usable[0] if usable else None
+        unknown = [p for p in usable if not self._seen(p, now).told_at]
+        some = 0 < len(unknown) < len(usable)
+        if some and self.rng.randrange(ACQUAINT_IN) == 0:
+            return self.rng.choice(unknown)
         away_s = AWAY_S + body_bytes / AWAY_BYTES_PER_S + AWAY_PART * aim_s
         compared = self._some_of(usable)
         costs = [self._cost(presence, now, away_s) for presence in compared]
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -58,7 +58,7 @@
 
 # Part of the latency that callers hope for that an answer may take without the
 # request going elsewhere.
-COMFORT_PART = 0.6
+COMFORT_PART = 0.5
 # Targets that may turn a request away because another may have room.
 MOST_OFFERS = 2
 UNREACHABLE = not_run(
