--- a/src/fulmarrudder/call/choose.py
+++ b/src/fulmarrudder/call/choose.py
@@ -192,6 +192,11 @@
         trust = warmth / (1 + FAILING_FACTOR * failing**2)
         return answer_s / trust * self.rng.uniform(1 - JITTER, 1 + JITTER)
 
+    def has_room(self, presence: Presence, now: float) -> bool:
+        """Tells whether an endpoint is likely to have a slot free."""
+        occupancy = self._seen(presence, now).occupancy(now)
+        return occupancy < max(1, presence.slots)
+
     def told(self, presence: Presence, now: float, told: Told) -> None:
         """Notes what the node beside a target told of it.
 
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -346,10 +346,13 @@
         """
         if call.attempts > MOST_OFFERS:
             return 0.0
+        now = self.clock.seconds()
         for presence in self.facts.endpoints_of(call.service):
             if presence.condition is not Condition.READY:
                 continue
-            if presence.node not in call.tried:
+            if presence.node in call.tried:
+                continue
+            if self.chooser.has_room(presence, now):
                 return call.arrived + COMFORT_PART * call.route.aim_ms / 1000
         return 0.0
 
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -138,6 +138,7 @@
         self.leaving = False
         self.in_flight = 0
         self.warmth = Warmth()
+        self.lines = logs.Bounded()
 
     def announced(self) -> None:
         """Takes over the slots and connections that the target announced.
@@ -297,8 +298,7 @@
             if body.lost:
                 return refused(broken("request body was cut off"))
             self._tally(request, started, failed=True)
-            self._strike(request, incarnation)
-            ensureDeferred(self._probe(address))
+            ensureDeferred(self._probe(request, address, incarnation))
             return refused(broken(f"target closed: {error}"))
         sound = soundness(head, request.head, self.dialect)
         if sound is not Soundness.SOUND:
@@ -310,7 +310,8 @@
     async def _unsound(
         self, request: HostRequest, sound: Soundness, head, exchange: Exchange
     ) -> Answer:
-        logs.info(
+        self.lines.info(
+            self.clock.seconds(),
             "answer-unsound",
             request=request.fingerprint,
             found=sound.value,
@@ -343,13 +344,16 @@
             )
         )
 
-    async def _probe(self, address: str) -> None:
+    async def _probe(
+        self, request: HostRequest, address: str, incarnation: int
+    ) -> None:
         # A target that has died is told from one that closed a connection
         # by connecting again, long before its silence would tell.
         try:
             connection = await self.pool.take(address, fresh=True)
         except ConnectError:
             self.beside.refused_connection()
+            self._strike(request, address, incarnation)
             return
         self.pool.give_back(connection)
 
@@ -364,10 +368,14 @@
             took_s=None if cold else now - started,
         )
 
-    def _strike(self, request: HostRequest, incarnation: int) -> None:
-        address = self.beside.latest.address
-        logs.warning(
-            "target-broke", request=request.fingerprint, route=request.route
+    def _strike(
+        self, request: HostRequest, address: str, incarnation: int
+    ) -> None:
+        self.lines.info(
+            self.clock.seconds(),
+            "target-broke",
+            request=request.fingerprint,
+            route=request.route,
         )
         self.spread(
             Strike(
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -61,6 +61,7 @@
         self.keep_alive = head.keep_alive
         self.answered = False
         self.done = False
+        self.lost = False
         self.continued = False
         self.producing = False
         self.started = self.factory.clock.seconds()
@@ -220,7 +221,7 @@
                 detail=failure.getErrorMessage(),
                 trace=failure.getBriefTraceback(),
             )
-        if self.done:
+        if self.done or self.lost:
             return
         refusal = Refusal(
             status=502,
@@ -275,6 +276,7 @@
         """Gives the call up."""
         if self.done:
             return
+        self.lost = True
         self.body.receive_lost()
         if self.answer is not None:
             self.answer.cancel()
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -24,7 +24,11 @@
 ELSEWHERE_WAIT = 0.25
 # Part of its own time that a request may be expected to wait although it will
 # be late: short of that there is room for it, and a late answer beats none.
-LATE_WAIT = 0.5
+LATE_WAIT = 0.15
+# Times vary; an answer is likely to be prompt only with this much to spare.
+MARGIN = 1.4
+# Part of its usual time below which a request is not begun.
+LEAST_TIME = 0.6
 # A caller that is turned away comes back no sooner than this.
 RETRY_LEAST_S = 0.02
 
@@ -110,16 +114,23 @@
             Deferred that fires when the slot is taken; fails with
             `SlotError` when the request would not be done in time.
         """
+        if ask is None:
+            ask = Ask(deadline=deadline)
         if self.taken < self.capacity and not self.queued:
+            if self._hopeless(ask):
+                return fail(SlotError("too little time is left"))
             self.taken += 1
             return succeed(None)
-        if ask is None:
-            ask = Ask(deadline=deadline)
         refusal = self._turned_away(ask)
         if refusal:
             return fail(SlotError(refusal))
         return self._queue(ask)
 
+    def _hopeless(self, ask: Ask) -> bool:
+        usual = self.held_by.get(ask.kind, 0.0)
+        left = ask.deadline - self.clock.seconds()
+        return left < LEAST_TIME * usual
+
     def _turned_away(self, ask: Ask) -> str:
         now = self.clock.seconds()
         if ask.deadline <= now:
@@ -135,7 +146,7 @@
             return "queue is too long for the time left"
         if not ask.prompt or wait <= LATE_WAIT * held:
             return ""
-        if now + wait + held > ask.prompt:
+        if now + MARGIN * (wait + held) > ask.prompt:
             return "queue is too long to be prompt"
         return ""
 
--- a/tests/call/test_host.py
+++ b/tests/call/test_host.py
@@ -281,12 +281,22 @@
 
 def test_target_that_dies_leaves_the_outcome_unknown_and_a_strike(scene):
     _, found = scene.ask()
+    scene.pool.refuse = True
     scene.pool.made[0].exchange.lost()
     assert refusal_in(found).ran.value == "unknown"
     assert [type(f) for f in scene.spread] == [Strike]
     assert scene.host.slots.taken == 0
 
 
+def test_target_that_lives_on_leaves_the_outcome_unknown_and_no_strike(scene):
+    """Played days with answers cut off: honest requests became suspects."""
+    _, found = scene.ask()
+    scene.pool.made[0].exchange.lost()
+    assert refusal_in(found).ran.value == "unknown"
+    assert not scene.spread
+    assert scene.host.slots.taken == 0
+
+
 def test_late_target_is_cancelled_and_told_as_unknown(scene):
     _, found = scene.ask(left=0.5)
     scene.run(0.6)
