Admission: short requests by what they take, not by who sends them

Cause: a debug run shows that callers and the target beside a node share one address, so that every request counted as nested: none was admitted by its aim and all had one rank. A request that takes well under the average is now admitted until its deadline; ranks are the configuration's; equal ranks go by whose answer is due first. First tries differ by 15% in how long they wait, which is not time spent.

A tie in the replay's network (a timer of a frozen seat) is mended as well.

--- a/lab/fulmarrudder_lab/replay/network.py
+++ b/lab/fulmarrudder_lab/replay/network.py
@@ -193,7 +193,10 @@
             near.other.drop()
             return
         self.over = True
-        self.timer.cancel()
+        # A seat that is frozen runs its timers once it wakes, so that one may
+        # have fired and not been told yet.
+        if self.timer.active():
+            self.timer.cancel()
         self.seat.run(near.open, (self.factory,))
 
     def _fail(self, error: Exception) -> None:
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -146,8 +146,6 @@
         body: RequestBody,
         ready,
         span,
-        *,
-        nested: bool = False,
     ) -> Answer:
         """Serves one call.
 
@@ -156,7 +154,6 @@
             body: Its body.
             ready: Called once the body is wanted.
             span: Span of the call, or None.
-            nested: Whether the target beside this node makes it.
 
         Returns:
             The target's answer, or a refusal.
@@ -174,7 +171,6 @@
             traceparent=self.spans.traceparent(span),
             dialect=self.dialect,
             caller=self.caller(),
-            nested=nested,
             patience=self.patience,
         )
         if isinstance(call, Refusal):
--- a/src/fulmarrudder/call/plan.py
+++ b/src/fulmarrudder/call/plan.py
@@ -19,6 +19,9 @@
 
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE"})
 KEY_LIMIT = 255
+# Callers differ in how long they wait at first; less than this part of the
+# longest wait shows that some of it has passed.
+LEAST_PATIENCE = 0.8
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -90,7 +93,7 @@
     """How long callers wait at their first try, learned by route.
 
     A caller that tries again says how long it still waits; what is missing to
-    the longest wait on its route has passed since it first asked.
+    the usual wait on its route has passed since it first asked.
 
     Attributes:
         longest: Longest wait seen, in milliseconds, by route.
@@ -107,7 +110,7 @@
         if asked_ms >= longest:
             self.longest[route] = asked_ms
             return 0
-        return longest - asked_ms
+        return max(0, int(longest * LEAST_PATIENCE) - asked_ms)
 
 
 def plan(
@@ -120,7 +123,6 @@
     traceparent: bytes | None,
     dialect: Dialect = OWN,
     caller: str = "",
-    nested: bool = False,
     patience: Patience,
 ) -> Call | Refusal:
     """Plans a call.
@@ -134,8 +136,6 @@
         traceparent: Field that names the span, or None.
         dialect: Field names.
         caller: Service beside this node.
-        nested: Whether the target beside this node makes the call, while it
-            runs a request that waits for it.
         patience: How long callers wait at first.
     """
     head, route = routed.head, routed.route
@@ -153,17 +153,15 @@
     key = head.headers.get(IDEMPOTENCY_KEY_HEADER) or b""
     if len(key) > KEY_LIMIT:
         return malformed("Idempotency-Key is too long")
-    # A request that waits for a nested call holds a slot meanwhile, so that
-    # such calls come first; they are of use until their deadline.
     prompt = 0.0
-    if route.aim_ms and not nested:
+    if route.aim_ms:
         prompt = arrived + (route.aim_ms - spent_ms) / 1000
     head = from_caller(traced(strip_own(head), traceparent), dialect, caller)
     return Call(
         head=head,
         service=routed.service,
         prompt=prompt,
-        rank=0 if nested else route.rank + 1,
+        rank=route.rank,
         arrived=arrived,
         id=_text(head.headers.get(dialect.request_id)),
         route=route,
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -97,7 +97,6 @@
                 self.body,
                 self.ready,
                 self.span,
-                nested=self.factory.is_target(self.transport),
             )
         if not self.factory.is_peer(self.head):
             return refused(
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -106,13 +106,6 @@
             elif connection.idle_until < now:
                 connection.close_if_idle()
 
-    def is_target(self, transport) -> bool:
-        """Tells whether the target beside this node opened a connection."""
-        latest = self.host.beside.latest
-        if latest is None:
-            return False
-        return transport.getPeer().host == latest.address.partition(":")[0]
-
     def is_peer(self, head: RequestHead) -> bool:
         """Tells whether a head carries the nodes' token."""
         return hmac.compare_digest(token_of(head), self.token)
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -1,7 +1,8 @@
 """Slots of the target beside this node, with a queue by rank and deadline.
 
 A request is admitted only if it is likely to be done in time; who is turned
-away learns it at once, and when to come back.
+away learns it at once, and when to come back. Among requests of a rank, the one
+whose answer is due first comes first.
 """
 
 import dataclasses
@@ -22,6 +23,9 @@
 # Part of a slot's usual time that a request may be expected to wait when it
 # could go elsewhere: less than the cost of asking another node.
 ELSEWHERE_WAIT = 0.25
+# Part of the average time below which a request is short. Turning it away frees
+# little, and often fails a longer one that waits for it elsewhere.
+SHORT_PART = 0.6
 # Part of its own time that a request may be expected to wait although it will
 # be late: short of that there is room for it, and a late answer beats none.
 LATE_WAIT = 0.15
@@ -146,6 +150,8 @@
             return "queue is too long for the time left"
         if not ask.prompt or wait <= LATE_WAIT * held:
             return ""
+        if held < SHORT_PART * self.held_s:
+            return ""
         if now + MARGIN * (wait + held) > ask.prompt:
             return "queue is too long to be prompt"
         return ""
