Entry: refuse at once what every target would turn away; own target first

The least urgent requests of a service are refused without a hop while all nodes told within 0.1 s that the wait is too long; the target beside a node, which needs no hop, may be 15% slower than another.

--- a/src/fulmarrudder/call/choose.py
+++ b/src/fulmarrudder/call/choose.py
@@ -20,12 +20,17 @@
 RAMP_FLOOR = 0.1
 # What an endpoint told of its load says nothing any more after this long.
 LOAD_FADES_S = 0.5
+# What was told within this time is as good as asking again.
+FRESH_S = 0.1
 # How much sooner an answer must be expected from another data centre than
 # from the own one: the way there and back, and what its bytes cost.
 AWAY_S = 0.02
 # The same as a part of the latency that the caller hopes for: an answer that
 # comes soon enough from the own data centre need not come sooner.
 AWAY_PART = 0.05
+# The target beside this node is reached without another node, which spares
+# both of them work: it may be this much slower.
+OWN_PART = 0.85
 # Bytes of a body whose way to another data centre is worth another second.
 AWAY_BYTES_PER_S = 200_000
 # Part of requests failed that makes an endpoint look this much slower.
@@ -58,6 +63,14 @@
     held_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Wait:
+    """How long a request is likely to wait for a slot, and then to hold it."""
+
+    wait_s: float
+    held_s: float
+
+
 @dataclasses.dataclass(slots=True)
 class Observed:
     """What this node has seen of one endpoint.
@@ -100,11 +113,13 @@
 
     Attributes:
         data_centre: This node's, which comes first.
+        node: Id of this node, or empty.
         observed: What has been seen, by node id and incarnation.
     """
 
-    def __init__(self, data_centre: str, rng: random.Random):
+    def __init__(self, data_centre: str, rng: random.Random, *, node: str = ""):
         self.data_centre = data_centre
+        self.node = node
         self.rng = rng
         self.observed: dict[tuple[str, int], Observed] = {}
 
@@ -184,6 +199,8 @@
         runs_s = max(seen.held_s, seen.latency_s)
         short = max(0.0, seen.occupancy(now) + 1 - slots)
         answer_s = runs_s * (1 + short / slots)
+        if presence.node == self.node:
+            answer_s *= OWN_PART
         if presence.data_centre != self.data_centre:
             answer_s += away_s
         warmth = min(1.0, max(RAMP_FLOOR, (now - seen.since) / RAMP_S))
@@ -192,6 +209,28 @@
         trust = warmth / (1 + FAILING_FACTOR * failing**2)
         return answer_s / trust * self.rng.uniform(1 - JITTER, 1 + JITTER)
 
+    def shortest_wait(
+        self, present: tuple[Presence, ...], now: float
+    ) -> Wait | None:
+        """Returns the shortest wait for a slot among endpoints.
+
+        Returns:
+            The wait, or None unless all endpoints have told of late.
+        """
+        shortest: Wait | None = None
+        for presence in present:
+            if presence.condition is not Condition.READY:
+                continue
+            seen = self._seen(presence, now)
+            if now - seen.told_at > FRESH_S:
+                return None
+            slots = max(1, presence.slots)
+            short = max(0.0, seen.occupancy(now) + 1 - slots)
+            wait = Wait(wait_s=short * seen.held_s / slots, held_s=seen.held_s)
+            if shortest is None or wait.wait_s < shortest.wait_s:
+                shortest = wait
+        return shortest
+
     def has_room(self, presence: Presence, now: float) -> bool:
         """Tells whether an endpoint is likely to have a slot free."""
         occupancy = self._seen(presence, now).occupancy(now)
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -43,6 +43,7 @@
 from fulmarrudder.call.screen import screen
 from fulmarrudder.call.sender import Sender
 from fulmarrudder.call.share import versions_for
+from fulmarrudder.call.slots import RETRY_LEAST_S, likely_late
 from fulmarrudder.call.suspects import (
     PREFIX_BYTES,
     fingerprint_of,
@@ -182,8 +183,33 @@
         if suspect is not None:
             return refused(suspect)
         self.budget_of(call.service).deposit()
+        crowded = self._crowded(call)
+        if crowded is not None:
+            return refused(crowded)
         return await self._attempts(call)
 
+    def _crowded(self, call: Call) -> Refusal | None:
+        """Refuses a request that every target would turn away, as all told.
+
+        Only the least urgent requests of a service are judged here: for the
+        others a target's load does not say how long they would wait.
+        """
+        least_urgent = self.in_force.table.least_urgent.get(call.service, 0)
+        if not call.prompt or not 0 < least_urgent <= call.route.rank:
+            return None
+        now = self.clock.seconds()
+        present = self.facts.endpoints_of(call.service)
+        found = self.chooser.shortest_wait(present, now)
+        if found is None:
+            return None
+        if not likely_late(now, found.wait_s, found.held_s, call.prompt):
+            return None
+        return not_run(
+            RefusalReason.OVERLOADED,
+            "all targets told that they are full",
+            retry_after_s=max(RETRY_LEAST_S, found.wait_s),
+        )
+
     def budget_of(self, service: str) -> RetryBudget:
         """Returns the budget of a service's retries."""
         budget = self.budgets.get(service)
--- a/src/fulmarrudder/call/route.py
+++ b/src/fulmarrudder/call/route.py
@@ -30,9 +30,10 @@
 
     Attributes:
         by_host: Routes by host and prefix; the empty host matches any.
+        least_urgent: Rank of the least urgent route, by service.
     """
 
-    __slots__ = ("by_host",)
+    __slots__ = ("by_host", "least_urgent")
 
     def __init__(self, arrangement: Arrangement, service: str = ""):
         """Builds the table of a node.
@@ -49,6 +50,10 @@
             by_prefix = by_host.setdefault(route.host.encode(), {})
             by_prefix.setdefault(route.prefix.encode(), route)
         self.by_host = by_host
+        self.least_urgent: dict[str, int] = {}
+        for route in arrangement.routes:
+            known = self.least_urgent.get(route.service, 0)
+            self.least_urgent[route.service] = max(known, route.rank)
 
     def match(
         self, head: RequestHead, rng: random.Random | None = None
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -59,6 +59,20 @@
     comfort: float = 0.0
 
 
+def likely_late(now: float, wait: float, held: float, prompt: float) -> bool:
+    """Tells whether a request would wait only to be late; pure.
+
+    Args:
+        now: Clock seconds.
+        wait: Seconds that it is likely to wait for a slot.
+        held: Seconds for which it then holds the slot.
+        prompt: Clock seconds until which the answer is worth most.
+    """
+    if wait <= LATE_WAIT * held:
+        return False
+    return now + MARGIN * (wait + held) > prompt
+
+
 @dataclasses.dataclass(slots=True)
 class _Waiter:
     granted: Deferred
@@ -148,11 +162,9 @@
             return "another target may have room"
         if now + wait + held > ask.deadline:
             return "queue is too long for the time left"
-        if not ask.prompt or wait <= LATE_WAIT * held:
-            return ""
-        if held < SHORT_PART * self.held_s:
+        if not ask.prompt or held < SHORT_PART * self.held_s:
             return ""
-        if now + MARGIN * (wait + held) > ask.prompt:
+        if likely_late(now, wait, held, ask.prompt):
             return "queue is too long to be prompt"
         return ""
 
--- a/src/fulmarrudder/node/member.py
+++ b/src/fulmarrudder/node/member.py
@@ -161,7 +161,7 @@
         self.facts = FactStore()
         self.beside = Beside(reactor, silence_s=SILENCE_S)
         self.pool = Pool(reactor)
-        self.chooser = Chooser(place.data_centre, rng)
+        self.chooser = Chooser(place.data_centre, rng, node=place.node)
         self.book = OrderBook()
         self.document: Document | None = None
         self.state = State()
--- a/src/fulmarrudder/observe/logs.py
+++ b/src/fulmarrudder/observe/logs.py
@@ -9,9 +9,9 @@
 LOGGER = logging.getLogger("fulmarrudder")
 _RENAMED = {"asctime": "time", "levelname": "level", "message": "event"}
 # Lines about single calls that a node writes in a second, and at once: about
-# 4 KB a second, well below what a call costs otherwise.
-LINES_PER_S = 20.0
-BURST_LINES = 60.0
+# 2 KB a second, well below what a call costs otherwise.
+LINES_PER_S = 8.0
+BURST_LINES = 40.0
 _PLAIN = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_.:/+@,T"
 )
