Tests of the adapter, admission and choice; behaviour by type goes by singledispatch

Cause: the adapter and the new admission had no tests of their own, and four elif chains over types stood in membership/store, call/server, distribution/spread and node/steward.

--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -2,6 +2,7 @@
 
 import collections
 import hmac
+from functools import singledispatch
 
 from twisted.internet.defer import Deferred
 from twisted.internet.protocol import Factory, Protocol
@@ -168,7 +169,7 @@
             if starts and self.call is not None and not self._breaks(event):
                 break
             self.events.popleft()
-            self._serve(event)
+            _serve(event, self)
         self._bound_queue()
 
     def _breaks(self, event) -> bool:
@@ -182,24 +183,8 @@
             self.stalled = False
             self.transport.resumeProducing()
 
-    def _serve(self, event) -> None:
-        if isinstance(event, RequestHead):
-            self.factory.active += 1
-            self.call = ServedCall(self, event)
-            self.call.start()
-        elif isinstance(event, BodyPart):
-            if self.call is not None:
-                self.call.body.receive_part(event.data)
-                self._bound_body()
-        elif isinstance(event, BodyEnd):
-            call = self.call
-            if call is not None:
-                call.body.receive_end()
-                call.close_when_done()
-        else:
-            self._refuse_protocol(event)
-
-    def _bound_body(self) -> None:
+    def bound_body(self) -> None:
+        """Breaks off a request whose body is over the limit."""
         if self.call.body.total > self.factory.limits.body_bytes:
             self.call.caller_lost()
             self.closing = True
@@ -212,11 +197,12 @@
             now: Clock seconds.
         """
         if now > self.head_until and not self.closing:
-            self._refuse_protocol(
+            self.refuse_protocol(
                 ProtocolError("request head took too long", status=408)
             )
 
-    def _refuse_protocol(self, error: ProtocolError) -> None:
+    def refuse_protocol(self, error: ProtocolError) -> None:
+        """Answers bytes that are no request, and closes the connection."""
         if self.call is not None:
             # The body of the call under way is malformed, so that nothing
             # more can be read, and its answer could not be told apart.
@@ -273,3 +259,35 @@
         if self.call is None and not self.closing:
             self.closing = True
             self.outlet.close()
+
+
+@singledispatch
+def _serve(event, connection: CallConnection) -> None:
+    raise TypeError(f"not an event: {type(event).__name__}")
+
+
+@_serve.register
+def _(event: RequestHead, connection: CallConnection) -> None:
+    connection.factory.active += 1
+    connection.call = ServedCall(connection, event)
+    connection.call.start()
+
+
+@_serve.register
+def _(event: BodyPart, connection: CallConnection) -> None:
+    if connection.call is not None:
+        connection.call.body.receive_part(event.data)
+        connection.bound_body()
+
+
+@_serve.register
+def _(event: BodyEnd, connection: CallConnection) -> None:
+    call = connection.call
+    if call is not None:
+        call.body.receive_end()
+        call.close_when_done()
+
+
+@_serve.register
+def _(event: ProtocolError, connection: CallConnection) -> None:
+    connection.refuse_protocol(event)
--- a/src/fulmarrudder/distribution/spread.py
+++ b/src/fulmarrudder/distribution/spread.py
@@ -121,32 +121,24 @@
     def for_child(self, services: frozenset[str] | None) -> Iterable[Fact]:
         """Yields what a child needs that wants some services."""
         for fact in tuple(self.facts.facts.values()):
-            if isinstance(fact, URGENT):
+            if _for_child(fact, services):
                 yield fact
-            elif isinstance(fact, Presence):
-                lost = fact.condition is Condition.LOST
-                wanted = services is None or fact.service in services
-                if wanted and not lost:
-                    yield fact
 
     def for_parent(self) -> Iterable[Fact]:
         """Yields what a parent needs to know of this node's subtree."""
         for fact in tuple(self.facts.facts.values()):
-            if isinstance(fact, URGENT):
+            if _for_parent(fact, self):
                 yield fact
-            elif isinstance(fact, Presence | Held):
-                if self.via.get(fact.node) in self.children.by_link:
-                    yield fact
 
     def for_peer(self) -> Iterable[Fact]:
         """Yields what another relay needs to know of this data centre."""
         for fact in tuple(self.facts.facts.values()):
-            if isinstance(fact, URGENT):
+            if _for_peer(fact, self):
                 yield fact
-            elif isinstance(fact, Presence):
-                below = self.via.get(fact.node) in self.children.by_link
-                if below or fact.data_centre == self.data_centre:
-                    yield fact
+
+    def is_below(self, node: str) -> bool:
+        """Tells whether a node was last heard by way of a child."""
+        return self.via.get(node) in self.children.by_link
 
     def link_gone(self, link: Link) -> None:
         """Declares nodes lost that do not turn up elsewhere in time."""
@@ -308,3 +300,41 @@
         return []
     link = spreader.peers.by_node.get(spreader.controller())
     return [link] if link is not None else []
+
+
+@singledispatch
+def _for_child(fact: Fact, services: frozenset[str] | None) -> bool:
+    return isinstance(fact, URGENT)
+
+
+@_for_child.register
+def _(fact: Presence, services: frozenset[str] | None) -> bool:
+    if fact.condition is Condition.LOST:
+        return False
+    return services is None or fact.service in services
+
+
+@singledispatch
+def _for_parent(fact: Fact, spreader: Spreader) -> bool:
+    return isinstance(fact, URGENT)
+
+
+@_for_parent.register
+def _(fact: Presence, spreader: Spreader) -> bool:
+    return spreader.is_below(fact.node)
+
+
+@_for_parent.register
+def _(fact: Held, spreader: Spreader) -> bool:
+    return spreader.is_below(fact.node)
+
+
+@singledispatch
+def _for_peer(fact: Fact, spreader: Spreader) -> bool:
+    return isinstance(fact, URGENT)
+
+
+@_for_peer.register
+def _(fact: Presence, spreader: Spreader) -> bool:
+    near = fact.data_centre == spreader.data_centre
+    return near or spreader.is_below(fact.node)
--- a/src/fulmarrudder/membership/store.py
+++ b/src/fulmarrudder/membership/store.py
@@ -1,5 +1,7 @@
 """Directory of facts that this node knows."""
 
+from functools import singledispatch
+
 from fulmarrudder.model import (
     Brake,
     Condition,
@@ -45,19 +47,20 @@
         if known is not None and order_of(fact) <= order_of(known):
             return False
         self.facts[key] = fact
-        self._index(key, known, fact, now)
+        _index(fact, self, known, now)
         return True
 
-    def _index(self, key: Key, known, fact: Fact, now: float) -> None:
-        if isinstance(fact, Presence):
-            self._index_presence(key, known, fact, now)
-        elif isinstance(fact, Brake):
-            self.brakes = (*self.brakes, fact)
-        elif isinstance(fact, Strike):
-            deaths = self.strikes.setdefault(fact.fingerprint, {})
-            deaths[fact.death] = fact.expires
+    def index_presence(
+        self, known: Presence | None, fact: Presence, now: float
+    ) -> None:
+        """Brings endpoints in line with a presence.
 
-    def _index_presence(self, key, known, fact: Presence, now) -> None:
+        Args:
+            known: The presence that it takes the place of, or None.
+            fact: The presence.
+            now: Clock seconds.
+        """
+        key = key_of(fact)
         self.lost_until.pop(key, None)
         if known is not None:
             self.services.get(known.service, {}).pop(known.node, None)
@@ -103,13 +106,7 @@
         fact = self.facts.pop(key, None)
         if fact is None:
             return
-        if isinstance(fact, Presence):
-            self.services.get(fact.service, {}).pop(fact.node, None)
-            self.endpoints.pop(fact.service, None)
-        elif isinstance(fact, Brake):
-            self.brakes = tuple(b for b in self.brakes if b != fact)
-        elif isinstance(fact, Strike):
-            self.strikes.get(fact.fingerprint, {}).pop(fact.death, None)
+        _unindex(fact, self)
 
     def expire(self, now: float, wall: float) -> None:
         """Forgets tombstones and strikes whose time has passed."""
@@ -142,3 +139,45 @@
             for name in tuple(self.services[service]):
                 if name != node:
                     self.drop(Key(kind="presence", name=name))
+
+
+@singledispatch
+def _index(fact: Fact, store: FactStore, known, now: float) -> None:
+    """Brings a store's indexes in line with a fact that it takes in."""
+
+
+@_index.register
+def _(fact: Presence, store: FactStore, known, now: float) -> None:
+    store.index_presence(known, fact, now)
+
+
+@_index.register
+def _(fact: Brake, store: FactStore, known, now: float) -> None:
+    store.brakes = (*store.brakes, fact)
+
+
+@_index.register
+def _(fact: Strike, store: FactStore, known, now: float) -> None:
+    deaths = store.strikes.setdefault(fact.fingerprint, {})
+    deaths[fact.death] = fact.expires
+
+
+@singledispatch
+def _unindex(fact: Fact, store: FactStore) -> None:
+    """Brings a store's indexes in line with a fact that it forgets."""
+
+
+@_unindex.register
+def _(fact: Presence, store: FactStore) -> None:
+    store.services.get(fact.service, {}).pop(fact.node, None)
+    store.endpoints.pop(fact.service, None)
+
+
+@_unindex.register
+def _(fact: Brake, store: FactStore) -> None:
+    store.brakes = tuple(b for b in store.brakes if b != fact)
+
+
+@_unindex.register
+def _(fact: Strike, store: FactStore) -> None:
+    store.strikes.get(fact.fingerprint, {}).pop(fact.death, None)
--- a/src/fulmarrudder/node/steward.py
+++ b/src/fulmarrudder/node/steward.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import Callable
+from functools import singledispatchmethod
 
 from twisted.internet.defer import Deferred
 
@@ -104,13 +105,19 @@
         wanted = next_duty(
             state, standing, lambda duty: self.watch.lapsed(state, duty)
         )
-        if isinstance(wanted, Claim):
-            delay = self.rng.uniform(0.0, CLAIM_JITTER_S)
-            self._claim_later(wanted.duty, wanted.expected_term, delay)
-        elif isinstance(wanted, Appoint):
-            self._appoint(wanted)
+        self._pursue(wanted)
 
-    def _appoint(self, wanted: Appoint) -> None:
+    @singledispatchmethod
+    def _pursue(self, wanted: None) -> None:
+        """Does what `next_duty` asks for, if anything."""
+
+    @_pursue.register
+    def _(self, wanted: Claim) -> None:
+        delay = self.rng.uniform(0.0, CLAIM_JITTER_S)
+        self._claim_later(wanted.duty, wanted.expected_term, delay)
+
+    @_pursue.register
+    def _(self, wanted: Appoint) -> None:
         key = f"appoint/{wanted.duty}"
         if key in self.claiming:
             return
--- a/tests/call/test_choose.py
+++ b/tests/call/test_choose.py
@@ -3,7 +3,7 @@
 import collections
 import random
 
-from fulmarrudder.call.choose import EJECT_BASE_S, RAMP_S, Chooser
+from fulmarrudder.call.choose import EJECT_BASE_S, RAMP_S, Chooser, Told
 from fulmarrudder.model import Condition, Presence
 
 
@@ -92,3 +92,42 @@
             choosing.finished(one, 0.0, took, failed=False)
     found = shares(choosing, present, 100.0)
     assert found["fast"] > 10 * found["slow"]
+
+
+def test_endpoint_that_is_told_to_be_full_is_left_for_one_with_room():
+    """Many entry nodes: what this one has sent says little of the load."""
+    choosing = chooser()
+    present = (endpoint("near"), endpoint("far", place="lima-2"))
+    told = Told(load=4, held_s=0.1)
+    choosing.told(present[0], 9.9, told)
+    assert set(shares(choosing, present, 10.0)) == {"far"}
+    assert not choosing.has_room(present[0], 10.0)
+    assert choosing.has_room(present[0], 20.0)
+
+
+def test_large_body_stays_in_its_data_centre_longer():
+    choosing = chooser()
+    present = (endpoint("near"), endpoint("far", place="lima-2"))
+    choosing.told(present[0], 10.0, Told(load=3, held_s=0.1))
+    choosing.told(present[1], 10.0, Told(load=0, held_s=0.1))
+    small = choosing.choose(present, None, 10.0)
+    large = choosing.choose(present, None, 10.0, body_bytes=60_000)
+    assert (small.node, large.node) == ("far", "near")
+
+
+def test_newcomer_is_asked_although_others_are_enough():
+    """Pozarnik's quiet-1: targets that joined elsewhere got nothing."""
+    choosing = chooser()
+    present = (endpoint("near"), endpoint("new", place="lima-2"))
+    choosing.told(present[0], 10.0, Told(load=0, held_s=0.1))
+    assert 0 < shares(choosing, present, 10.0)["new"] < 100
+
+
+def test_wait_is_known_only_while_all_have_told_of_late():
+    choosing = chooser()
+    present = (endpoint("a"), endpoint("b"))
+    choosing.told(present[0], 10.0, Told(load=5, held_s=0.1))
+    assert choosing.shortest_wait(present, 10.0) is None
+    choosing.told(present[1], 10.0, Told(load=3, held_s=0.1))
+    assert 0.05 < choosing.shortest_wait(present, 10.0).wait_s < 0.15
+    assert choosing.shortest_wait(present, 11.0) is None
--- /dev/null
+++ b/tests/call/test_gather.py
@@ -0,0 +1,79 @@
+"""Small answers are read whole before their first byte goes on."""
+
+import pytest
+from twisted.internet.defer import TimeoutError, ensureDeferred
+from twisted.internet.task import Clock
+
+from fulmarrudder.call.answer import WholeAnswer
+from fulmarrudder.call.errors import CallError
+from fulmarrudder.call.gather import GATHER_BYTES, StreamedAnswer, gather
+from fulmarrudder.call.host import LiveAnswer
+from fulmarrudder.call.message import (
+    BodyEnd,
+    BodyPart,
+    Framing,
+    Headers,
+    RequestHead,
+    ResponseHead,
+)
+from tests.call.fakes import result_of
+from tests.call.test_host import FakeConnection, Taker
+
+
+class Scene:
+    """An answer whose pieces a test plays."""
+
+    def __init__(self, framing=Framing.CHUNKED):
+        self.clock = Clock()
+        self.connection = FakeConnection()
+        head = RequestHead(method=b"GET", target=b"/", headers=Headers())
+        self.exchange = self.connection.start(head, None)
+        answer = ResponseHead(
+            status=200, reason=b"", headers=Headers(), framing=framing
+        )
+        self.exchange.receive(answer)
+        live = LiveAnswer(answer, self.exchange)
+        self.gathering = ensureDeferred(gather(live, self.clock, 1.0))
+
+
+def test_small_answer_comes_whole_with_its_length():
+    scene = Scene()
+    scene.exchange.receive(BodyPart(b"ab"))
+    assert not scene.gathering.called
+    scene.exchange.receive(BodyPart(b"c"))
+    scene.exchange.receive(BodyEnd())
+    answer = result_of(scene.gathering)
+    assert isinstance(answer, WholeAnswer)
+    assert (answer.body, answer.head.length) == (b"abc", 3)
+    assert answer.head.framing is Framing.LENGTH
+
+
+def test_small_answer_that_is_cut_off_is_no_answer():
+    scene = Scene()
+    scene.exchange.receive(BodyPart(b"ab"))
+    scene.exchange.lost()
+    with pytest.raises(CallError):
+        result_of(scene.gathering)
+
+
+def test_answer_that_stops_coming_ends_at_the_deadline():
+    scene = Scene()
+    scene.exchange.receive(BodyPart(b"ab"))
+    scene.clock.advance(1.1)
+    with pytest.raises(TimeoutError):
+        result_of(scene.gathering)
+    assert scene.connection.transport.aborted
+
+
+def test_large_answer_streams_in_order():
+    scene = Scene()
+    scene.exchange.receive(BodyPart(b"a" * (GATHER_BYTES + 1)))
+    answer = result_of(scene.gathering)
+    assert isinstance(answer, StreamedAnswer)
+    scene.exchange.receive(BodyPart(b"b"))
+    taker = Taker()
+    answer.stream_to(taker)
+    scene.exchange.receive(BodyPart(b"c"))
+    scene.exchange.receive(BodyEnd())
+    assert taker.data.endswith(b"abc")
+    assert taker.ended
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,154 @@
+"""The client of the store: every call has an outcome."""
+
+import base64
+import json
+
+import pytest
+from twisted.internet.defer import ensureDeferred
+from twisted.internet.task import Clock
+
+from fulmarrudder.call import CallError, Framing, Headers
+from fulmarrudder.call.message import BodyEnd, BodyPart, ResponseHead
+from fulmarrudder.platform.errors import (
+    AwayError,
+    ExpiredError,
+    RefusedError,
+)
+from fulmarrudder.platform.store import (
+    CALL_LIMIT_S,
+    EDGES,
+    LENGTH,
+    KeyedRecord,
+    Store,
+)
+from tests.call.fakes import result_of
+from tests.call.test_host import FakeConnection, FakePool
+
+
+class Scene:
+    """A store whose answers a test plays."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.pool = FakePool()
+        self.store = Store(self.clock, self.pool, "10.0.0.1:80")
+
+    def call(self, coroutine):
+        return ensureDeferred(coroutine)
+
+    def answer(self, body, status=200):
+        exchange = self.pool.made[-1].exchange
+        exchange.receive(
+            ResponseHead(
+                status=status,
+                reason=b"",
+                headers=Headers(),
+                framing=Framing.LENGTH,
+                length=len(body),
+            )
+        )
+        exchange.receive(BodyPart(body))
+        exchange.receive(BodyEnd())
+
+
+@pytest.fixture
+def scene():
+    return Scene()
+
+
+def record(key, value):
+    data = bytes([len(key)]) + key + value
+    return LENGTH.pack(len(data)) + data
+
+
+def test_read_decodes_records_and_where_the_next_one_is(scene):
+    reading = scene.call(scene.store.read("t", 7, 1.0))
+    body = EDGES.pack(9, 0) + record(b"config", b"{}") + record(b"x", b"")
+    scene.answer(body)
+    found = result_of(reading)
+    assert found.end == 9
+    assert found.records == (
+        KeyedRecord(key="config", value=b"{}", offset=7),
+        KeyedRecord(key="x", value=None, offset=8),
+    )
+
+
+def test_newest_follows_its_pages(scene):
+    reading = scene.call(scene.store.newest("t"))
+    item = {"key": "a", "value": base64.b64encode(b"1").decode(), "offset": 3}
+    page = {"items": [item], "hasMore": True, "endOffset": 5}
+    scene.answer(json.dumps(page).encode())
+    last = {"items": [{**item, "key": "b"}], "hasMore": False, "endOffset": 6}
+    scene.answer(json.dumps(last).encode())
+    found = result_of(reading)
+    assert [r.key for r in found.records] == ["a", "b"]
+    assert found.end == 6
+
+
+@pytest.mark.parametrize(
+    ("status", "error"),
+    [
+        (503, AwayError),
+        (429, AwayError),
+        (410, ExpiredError),
+        (409, RefusedError),
+        (403, RefusedError),
+    ],
+)
+def test_each_refusal_has_its_error(scene, status, error):
+    reading = scene.call(scene.store.read("t", 0, 1.0))
+    scene.answer(b"{}", status)
+    with pytest.raises(error):
+        result_of(reading)
+
+
+def test_silence_is_away_and_ends_the_connection(scene):
+    appending = scene.call(
+        scene.store.append("t", KeyedRecord(key="k", value=b"v"))
+    )
+    scene.clock.advance(CALL_LIMIT_S + 0.1)
+    with pytest.raises(AwayError):
+        result_of(appending)
+    assert scene.pool.made[-1].transport.aborted
+
+
+def test_connection_that_is_cut_is_away(scene):
+    reading = scene.call(scene.store.read("t", 0, 1.0))
+    scene.pool.made[-1].exchange.lost()
+    with pytest.raises(AwayError):
+        result_of(reading)
+
+
+def test_store_that_refuses_connections_is_away(scene):
+    scene.pool.refuse = True
+    with pytest.raises(AwayError):
+        result_of(scene.call(scene.store.newest("t")))
+
+
+def test_answer_that_is_not_what_was_asked_is_refused(scene):
+    reading = scene.call(scene.store.newest("t"))
+    scene.answer(b'{"items": 3}')
+    with pytest.raises(RefusedError):
+        result_of(reading)
+
+
+def test_lease_is_held_only_with_the_partition(scene):
+    joining = scene.call(
+        scene.store.join("g", "me", "t", ttl_s=2.0, generation=0)
+    )
+    answer = {"generation": 7, "parts": [["t", 0, 0]]}
+    scene.answer(json.dumps(answer).encode())
+    assert result_of(joining).holds
+    again = scene.call(
+        scene.store.join("g", "me", "t", ttl_s=2.0, generation=7)
+    )
+    scene.answer(b'{"generation": 8, "parts": []}')
+    assert not result_of(again).holds
+
+
+def test_errors_of_the_call_path_do_not_leave_the_client():
+    assert not issubclass(AwayError, CallError)
+
+
+def test_fake_connections_are_those_of_the_call_path():
+    assert FakeConnection().exchange is None
