--- a/src/fulmarrudder/node/member.py
+++ b/src/fulmarrudder/node/member.py
@@ -48,7 +48,7 @@
     OrderBook,
     Verdict,
 )
-from fulmarrudder.observe import Metrics, Spans, logs
+from fulmarrudder.observe import Metrics, Sample, Spans, logs
 
 OPEN = frozenset({Phase.RUNNING, Phase.COMPLETING, Phase.TAKING_BACK})
 ENDED_PHASE = {
@@ -384,6 +384,25 @@
         self.shown = dataclasses.replace(presence, sequence=self.sequence)
         self.gossip.tell(self.shown)
 
+    def gauges(self) -> tuple[Sample, ...]:
+        """Returns the present values of gauges."""
+        values = {
+            "fulmarrudder_config_version": self.version,
+            "fulmarrudder_brakes": len(self.facts.brakes),
+            "fulmarrudder_strikes": len(self.facts.strikes),
+            "fulmarrudder_duties_held": int(self.term.sure()),
+            "fulmarrudder_links": len(self.gossip.links),
+            "fulmarrudder_endpoints": sum(
+                len(nodes) for nodes in self.facts.services.values()
+            ),
+            "fulmarrudder_slots_taken": self.host.slots.taken,
+            "fulmarrudder_slots_queued": self.host.slots.queued,
+        }
+        return tuple(
+            Sample(name=name, labels=(), value=value)
+            for name, value in values.items()
+        )
+
     def leave(self) -> None:
         """Starts to leave: takes nothing new for the target."""
         self.host.leaving = True
--- a/src/fulmarrudder/observe/metrics.py
+++ b/src/fulmarrudder/observe/metrics.py
@@ -66,6 +66,13 @@
     ),
     "fulmarrudder_in_flight": _Family(Gauge, "Calls under way, by role."),
     "fulmarrudder_endpoints": _Family(Gauge, "Endpoints known."),
+    "fulmarrudder_links": _Family(Gauge, "Links to other nodes."),
+    "fulmarrudder_slots_taken": _Family(
+        Gauge, "Requests that the target beside this node runs."
+    ),
+    "fulmarrudder_slots_queued": _Family(
+        Gauge, "Requests that wait for the target beside this node."
+    ),
     "fulmarrudder_brakes": _Family(Gauge, "Brakes known."),
     "fulmarrudder_strikes": _Family(
         Gauge, "Deaths of targets, by the requests that they ran, known here."
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -17,7 +17,12 @@
 from fulmarrudder.observe import logs
 from fulmarrudder.platform.directory import Directory
 from fulmarrudder.platform.errors import StoreError
-from fulmarrudder.platform.http import Beats, Readiness, site_of
+from fulmarrudder.platform.http import (
+    Beats,
+    MetricsPage,
+    Readiness,
+    site_of,
+)
 from fulmarrudder.platform.lease import Lease
 from fulmarrudder.platform.operator import TOPIC, Operator
 from fulmarrudder.platform.settings import Machine, load_machine
@@ -108,6 +113,7 @@
         self._listen(machine.mesh_address, member.gossip.listener())
         self._listen(machine.probe_address, site_of(Readiness(member)))
         self._listen(machine.announce_address, site_of(Beats(member)))
+        self._listen(machine.metrics_address, site_of(MetricsPage(member)))
         self.tail.start()
         for call, period in (
             (member.tick, TICK_S),
--- a/src/fulmarrudder/platform/http.py
+++ b/src/fulmarrudder/platform/http.py
@@ -34,6 +34,21 @@
         return b"not ready\n"
 
 
+class MetricsPage(Resource):
+    """Answers with metrics, in the Prometheus text format."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, member: Member):
+        super().__init__()
+        self.member = member
+
+    def render_GET(self, request):  # noqa: N802
+        """Renders the metrics."""
+        request.setHeader(b"content-type", b"text/plain; version=0.0.4")
+        return self.member.metrics.render(self.member.gauges())
+
+
 class Beats(Resource):
     """Takes what targets say of themselves.
 
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -89,7 +89,9 @@
             found = await self.store.newest(self.topic)
         else:
             found = await self.store.read(self.topic, self.next_offset, WAIT_S)
-        for record in found.records:
+        # What a later record of the same key replaces is not worth reading.
+        newest = {record.key: record for record in found.records}
+        for record in newest.values():
             self.on_record(record)
         self.next_offset = found.end
         self.heard = bool(found.records)
--- /dev/null
+++ b/tests/platform/test_http.py
@@ -0,0 +1,122 @@
+"""Readiness, announcements and metrics, as the platform asks for them."""
+
+import io
+import json
+import random
+
+import pytest
+from twisted.internet.task import Clock
+from twisted.web.test.requesthelper import DummyRequest
+
+from fulmarrudder.distribution import Document
+from fulmarrudder.model import Arrangement, Condition
+from fulmarrudder.node.member import ALONE_S, Member, Place
+from fulmarrudder.platform.http import Beats, MetricsPage, Readiness
+from fulmarrudder.platform.wire import DIALECT
+from tests.platform.test_beats import BEAT
+
+
+class Duty:
+    """A duty that this node does not hold."""
+
+    term = 0
+
+    def sure(self):
+        return False
+
+
+def new_member():
+    place = Place(
+        node="n1",
+        data_centre="lima-1",
+        service="caja",
+        host_address="127.0.0.1:1",
+        mesh_address="127.0.0.1:2",
+        retry_ratio=0.2,
+        retry_slack=50.0,
+    )
+    return Member(
+        place,
+        reactor=Clock(),
+        rng=random.Random(1),
+        incarnation=1,
+        dialect=DIALECT,
+        token=b"t",
+        term=Duty(),
+        record=lambda move: None,
+        read=lambda document: None,
+    )
+
+
+@pytest.fixture
+def member():
+    return new_member()
+
+
+def ask(resource, path=b"/", body=None):
+    request = DummyRequest([b""])
+    request.path = path
+    if body is None:
+        return request, resource.render_GET(request)
+    request.content = io.BytesIO(body)
+    return request, resource.render_POST(request)
+
+
+def beat(member, sequence, state="ready", born=1000, target="i-1"):
+    told = {
+        **BEAT,
+        "born": born,
+        "status": {"state": state, "sequence": sequence},
+    }
+    path = f"/-/instances/{target}/heartbeat".encode()
+    return ask(Beats(member), path, json.dumps(told).encode())
+
+
+def test_node_is_ready_once_it_holds_a_version_and_not_while_it_leaves(member):
+    assert ask(Readiness(member))[0].responseCode == 503
+    member.take_arrangement(Document(version=3, text=""), Arrangement())
+    assert ask(Readiness(member))[0].responseCode == 503
+    member.clock.advance(ALONE_S + 0.1)
+    assert ask(Readiness(member))[1] == b"ready\n"
+    member.leave()
+    assert ask(Readiness(member))[0].responseCode == 503
+
+
+def test_older_version_never_takes_the_place_of_a_newer_one(member):
+    member.take_arrangement(Document(version=3, text="3"), Arrangement())
+    member.take_arrangement(Document(version=2, text="2"), Arrangement())
+    assert (member.version, member.document.text) == (3, "3")
+
+
+def test_heartbeat_makes_the_target_known_and_goodbye_binds_at_once(member):
+    beat(member, 1)
+    assert member.beside.condition is Condition.READY
+    _, answer = ask(Beats(member), b"/-/instances/i-1/deregister", b"")
+    assert answer == b"{}"
+    assert member.beside.condition is Condition.LEAVING
+    beat(member, 2)
+    assert member.beside.condition is Condition.LEAVING
+
+
+def test_late_heartbeat_of_an_earlier_start_changes_nothing(member):
+    beat(member, 1, born=2000, target="i-2")
+    beat(member, 99, born=1000, target="i-1")
+    assert member.beside.latest.id == "i-2"
+
+
+def test_same_id_born_again_counts_anew(member):
+    beat(member, 50, state="draining", born=1000)
+    beat(member, 1, born=2000)
+    assert member.beside.condition is Condition.READY
+
+
+def test_heartbeat_that_cannot_be_read_is_refused(member):
+    request, _ = ask(Beats(member), b"/-/instances/i-1/heartbeat", b"\xff")
+    assert request.responseCode == 400
+    assert member.beside.latest is None
+
+
+def test_metrics_hold_the_version_in_force(member):
+    member.take_arrangement(Document(version=3, text=""), Arrangement())
+    _, text = ask(MetricsPage(member))
+    assert b"fulmarrudder_config_version" in text
