--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -23,6 +23,9 @@
 # Part of a slot's usual time that a request may be expected to wait when it
 # could go elsewhere: less than the cost of asking another node.
 ELSEWHERE_WAIT = 0.25
+# Requests queued for each slot beyond which one that will be late is turned away
+# rather than put behind those that can be prompt.
+LATE_QUEUE = 0.25
 # Part of the average time below which a request is short. Turning it away frees
 # little, and often fails a longer one that waits for it elsewhere.
 SHORT_PART = 0.6
@@ -99,7 +102,7 @@
         self.queued = 0
         self.held_s = FIRST_HELD_S
         self.held_by: dict[str, float] = {}
-        self.heap: list[tuple[int, float, int, _Waiter]] = []
+        self.heap: list[tuple[int, bool, float, int, _Waiter]] = []
         self.order = itertools.count()
 
     def resize(self, capacity: int) -> None:
@@ -109,7 +112,7 @@
 
     def expected_wait(self, rank: int) -> float:
         """Returns the seconds that a request of a rank is likely to wait."""
-        ahead = sum(1 for e in self.heap if e[3].due and e[0] <= rank)
+        ahead = sum(1 for e in self.heap if e[-1].due and e[0] <= rank)
         short = self.taken + ahead + 1 - self.capacity
         if short <= 0:
             return 0.0
@@ -169,14 +172,20 @@
         return ""
 
     def _queue(self, ask: Ask) -> Deferred:
-        left = min(QUEUE_LIMIT_S, ask.deadline - self.clock.seconds())
+        held = self.held_by.get(ask.kind, self.held_s)
+        useful = ask.deadline - LEAST_TIME * held - self.clock.seconds()
+        left = max(0.0, min(QUEUE_LIMIT_S, useful))
         waiter = _Waiter(Deferred(lambda _: self._abandon(waiter)), ask)
         waiter.timer = self.clock.callLater(left, self._expire, waiter)
-        entry = (ask.rank, ask.prompt, next(self.order), waiter)
-        heapq.heappush(self.heap, entry)
+        self._push(waiter, late=False)
         self.queued += 1
         return waiter.granted
 
+    def _push(self, waiter: _Waiter, *, late: bool) -> None:
+        ask = waiter.ask
+        entry = (ask.rank, late, ask.prompt, next(self.order), waiter)
+        heapq.heappush(self.heap, entry)
+
     def release(self, held_s: float | None = None, kind: str = "") -> None:
         """Gives a slot back.
 
@@ -194,13 +203,33 @@
 
     def _grant(self) -> None:
         while self.heap and self.taken < self.capacity:
-            waiter = heapq.heappop(self.heap)[3]
+            _, late, _, _, waiter = heapq.heappop(self.heap)
             if not waiter.due:
                 continue
+            if not late and self._overdue(waiter.ask):
+                self._put_behind(waiter)
+                continue
             self._leave(waiter)
             self.taken += 1
             waiter.granted.callback(None)
 
+    def _overdue(self, ask: Ask) -> bool:
+        if not ask.prompt:
+            return False
+        held = self.held_by.get(ask.kind, self.held_s)
+        if held < SHORT_PART * self.held_s:
+            return False
+        return self.clock.seconds() + held > ask.prompt
+
+    def _put_behind(self, waiter: _Waiter) -> None:
+        # Served in the order in which they are due, requests that will be
+        # late make those behind them late as well, until everyone is.
+        if self.queued > LATE_QUEUE * self.capacity:
+            self._leave(waiter)
+            waiter.granted.errback(SlotError("too late to be prompt"))
+            return
+        self._push(waiter, late=True)
+
     def _leave(self, waiter: _Waiter) -> None:
         waiter.due = False
         self.queued -= 1
--- a/tests/call/test_admission.py
+++ b/tests/call/test_admission.py
@@ -92,3 +92,36 @@
         slots.release(0.2, "deposit")
     assert slots.held_by["call"] == pytest.approx(0.02, rel=0.01)
     assert slots.held_by["deposit"] == pytest.approx(0.2, rel=0.01)
+
+
+def test_request_that_will_be_late_goes_behind_one_that_can_be_prompt():
+    """Pozarnik's scale-1: the oldest went first, so that all came late."""
+    clock, slots = full(capacity=8, held_s=0.1)
+    late = slots.acquire(9.0, Ask(deadline=9.0, prompt=0.25))
+    clock.advance(0.2)
+    prompt = slots.acquire(9.0, Ask(deadline=9.0, prompt=0.6))
+    slots.release()
+    assert prompt.called
+    assert not late.called
+    slots.release()
+    assert late.called
+
+
+def test_request_that_will_be_late_is_turned_away_from_a_long_queue():
+    clock, slots = full(capacity=4, held_s=0.1)
+    late = slots.acquire(9.0, Ask(deadline=9.0, prompt=0.25))
+    clock.advance(0.2)
+    for _ in range(3):
+        slots.acquire(9.0, Ask(deadline=9.0, prompt=0.9))
+    slots.release()
+    with pytest.raises(SlotError, match="prompt"):
+        result_of(late)
+
+
+def test_waiter_is_told_while_it_can_still_go_elsewhere():
+    """Requests admitted at the day's first moment waited to their deadline."""
+    clock, slots = full(capacity=1, held_s=0.1)
+    waiting = slots.acquire(0.5, Ask(deadline=0.5))
+    clock.advance(0.45)
+    with pytest.raises(SlotError, match="time"):
+        result_of(waiting)
