--- a/src/fulmarrudder/node/member.py
+++ b/src/fulmarrudder/node/member.py
@@ -8,10 +8,8 @@
 import dataclasses
 import random
 from collections.abc import Callable
-from functools import singledispatchmethod
-from typing import Protocol
 
-from twisted.internet.defer import Deferred, succeed
+from twisted.internet.defer import Deferred
 
 from fulmarrudder.call import (
     CallFactory,
@@ -29,39 +27,24 @@
 from fulmarrudder.membership import Announcement, Beside, FactStore
 from fulmarrudder.model import (
     Arrangement,
-    Body,
-    CloseMove,
     Condition,
     Course,
-    Decision,
-    EndMove,
     Evidence,
     Fact,
     Presence,
-    StepMove,
 )
 from fulmarrudder.move import (
-    Confirmation,
     Controller,
     Monitor,
     Order,
     OrderBook,
     Verdict,
 )
+from fulmarrudder.node.showing import Showing
+from fulmarrudder.node.steering import Steering, Term
 from fulmarrudder.observe import Metrics, Sample, Spans, logs
 
 OPEN = frozenset({Phase.RUNNING, Phase.COMPLETING, Phase.TAKING_BACK})
-ENDED_PHASE = {
-    Decision.COMPLETE: Phase.COMPLETING,
-    Decision.TAKE_BACK: Phase.TAKING_BACK,
-}
-CLOSED_PHASE = {
-    Phase.COMPLETING: Phase.COMPLETED,
-    Phase.TAKING_BACK: Phase.TAKEN_BACK,
-}
-# A decision is spread within a fraction of a second; what the old version
-# still runs by then is done after this long.
-SETTLE_S = 1.5
 # Part of the fleet's budget of retries that nodes may use: calls that a
 # repeated request makes are repeats as well.
 RETRY_PART = 0.4
@@ -97,19 +80,6 @@
     retry_slack: float
 
 
-class Term(Protocol):
-    """The controller's duty, as this node knows it.
-
-    Attributes:
-        term: Fences what the holder says.
-    """
-
-    term: int
-
-    def sure(self) -> bool:
-        """Tells whether this node holds the duty now."""
-
-
 class Member:
     """A node beside a target, in a fleet without relays.
 
@@ -153,8 +123,6 @@
         self.rng = rng
         self.incarnation = incarnation
         self.term = term
-        self.record = record
-        self.sequence = 0
         self.wall_base = wall_seconds() - reactor.seconds()
         self.metrics = Metrics()
         self.spans = Spans(reactor, 0.0)
@@ -165,12 +133,18 @@
         self.book = OrderBook()
         self.document: Document | None = None
         self.state = State()
-        self.shown: Presence | None = None
+        own = Presence(
+            node=place.node,
+            incarnation=incarnation,
+            sequence=0,
+            data_centre=place.data_centre,
+            call_address=place.host_address,
+            mesh_address=place.mesh_address,
+        )
+        self.showing = Showing(own, self.beside, lambda p: self.gossip.tell(p))
         self.evidence_count = 0
-        self.step = 0
         self.acquainted = False
         self.alone_from = reactor.seconds() + ALONE_S
-        self.decided: dict[str, float] = {}
         self.gossip = Gossip(
             clock=reactor,
             rng=rng,
@@ -217,8 +191,20 @@
             metrics=self.metrics,
         )
         self.monitor = Monitor(reactor, self.facts, self.gossip.tell)
+        self.steering = Steering(
+            clock=reactor,
+            data_centre=place.data_centre,
+            term=term,
+            moves=lambda: self.state.moves,
+            tell=self.gossip.tell,
+            record=record,
+        )
         self.controller = Controller(
-            reactor, self.monitor, self._append, self._confirmed, self.wall
+            reactor,
+            self.monitor,
+            self.steering.append,
+            self.steering.confirmed,
+            self.wall,
         )
 
     def wall(self) -> float:
@@ -362,27 +348,7 @@
             again: Whether to spread it even when it has not, so that it
                 outdates what others may have concluded.
         """
-        latest = self.beside.latest
-        condition = self.beside.condition
-        if self.host.leaving:
-            condition = Condition.LEAVING
-        presence = Presence(
-            node=self.place.node,
-            incarnation=self.incarnation,
-            sequence=self.sequence,
-            data_centre=self.place.data_centre,
-            call_address=self.place.host_address,
-            mesh_address=self.place.mesh_address,
-            service=latest.service if latest else "",
-            target_version=latest.target_version if latest else "",
-            condition=condition,
-            slots=latest.slots if latest else 0,
-        )
-        if presence == self.shown and not again:
-            return
-        self.sequence += 1
-        self.shown = dataclasses.replace(presence, sequence=self.sequence)
-        self.gossip.tell(self.shown)
+        self.showing.show(leaving=self.host.leaving, again=again)
 
     def gauges(self) -> tuple[Sample, ...]:
         """Returns the present values of gauges."""
@@ -423,15 +389,16 @@
             return
         if fact.condition is Condition.LOST:
             self.entry.sender.node_lost(fact.node)
-        if fact.node == self.place.node and fact is not self.shown:
+        if fact.node == self.place.node and fact is not self.showing.shown:
             self._reassert(fact)
 
     def _reassert(self, fact: Presence) -> None:
         """Outdates what others concluded, or an earlier start left."""
-        if fact.incarnation > self.incarnation:
-            self.incarnation = fact.incarnation + 1
-        if fact.incarnation == self.incarnation:
-            self.sequence = max(self.sequence, fact.sequence)
+        showing = self.showing
+        if fact.incarnation > showing.incarnation:
+            showing.incarnation = fact.incarnation + 1
+        if fact.incarnation == showing.incarnation:
+            showing.sequence = max(showing.sequence, fact.sequence)
         self.show(again=True)
 
     def _follow_moves(self) -> None:
@@ -443,72 +410,3 @@
             self.entry.in_force, state=self.state
         )
         self.monitor.follow(self.state)
-
-    def _confirmed(self, changed: int) -> Confirmation:
-        now = self.clock.seconds()
-        decided = self.decided.setdefault(str(changed), now)
-        missing = () if now - decided >= SETTLE_S else (self.place.data_centre,)
-        return Confirmation(confirmed=(), lagging=missing, unheard=())
-
-    @singledispatchmethod
-    def _append(self, body: Body) -> Deferred:
-        raise TypeError(f"not for a controller: {type(body).__name__}")
-
-    @_append.register
-    def _(self, body: StepMove) -> Deferred:
-        move = self._move(body.move)
-        if move.permille == 0:
-            self.record(move)
-        self._steer(move, permille=body.permille, phase=Phase.RUNNING)
-        return succeed(None)
-
-    @_append.register
-    def _(self, body: EndMove) -> Deferred:
-        move = self._move(body.move)
-        complete = body.decision is Decision.COMPLETE
-        phase = ENDED_PHASE[body.decision]
-        permille = 1000 if complete else 0
-        self._steer(move, permille=permille, phase=phase, reason=body.reason)
-        return succeed(None)
-
-    @_append.register
-    def _(self, body: CloseMove) -> Deferred:
-        move = self._move(body.move)
-        closed = dataclasses.replace(move, phase=CLOSED_PHASE[move.phase])
-
-        def recorded(_):
-            self._steer(
-                move,
-                permille=move.permille,
-                phase=closed.phase,
-                reason=move.reason,
-            )
-
-        return self.record(closed).addCallback(recorded)
-
-    def _move(self, move_id: str) -> Move:
-        for move in self.state.moves:
-            if move.id == move_id:
-                return move
-        raise KeyError(move_id)
-
-    def _steer(
-        self, move: Move, *, permille: int, phase: Phase, reason: str = ""
-    ) -> None:
-        self.step += 1
-        logs.info(
-            "move-steered", move=move.id, permille=permille, phase=phase.value
-        )
-        self.gossip.tell(
-            Course(
-                move=move.id,
-                service=move.service,
-                to_version=move.to_version,
-                permille=permille,
-                phase=phase.value,
-                deadline=move.deadline,
-                term=self.term.term,
-                step=self.step,
-                reason=reason,
-            )
-        )
--- a/src/fulmarrudder/node/node.py
+++ b/src/fulmarrudder/node/node.py
@@ -1,6 +1,5 @@
 """One node: joins the pipelines and keeps them in line with its duties."""
 
-import dataclasses
 import random
 import uuid
 from collections.abc import Callable
@@ -50,6 +49,7 @@
 from fulmarrudder.move import Controller, Monitor
 from fulmarrudder.node.feed import Feed
 from fulmarrudder.node.settings import Settings
+from fulmarrudder.node.showing import Showing
 from fulmarrudder.node.snapshots import Snapshots
 from fulmarrudder.node.steward import Steward
 from fulmarrudder.observe import Metrics, Spans, logs
@@ -86,7 +86,6 @@
         self.rng = rng
         self.log = log
         self.incarnation = incarnation
-        self.sequence = 0
         self.holder_id = f"{settings.node}/{incarnation}"
         self.metrics = Metrics()
         self.spans = Spans(reactor, settings.span_ratio)
@@ -177,7 +176,15 @@
             is_leaving=lambda: self.host.leaving,
             submit=self.submit,
         )
-        self.shown: Presence | None = None
+        own = Presence(
+            node=settings.node,
+            incarnation=incarnation,
+            sequence=0,
+            data_centre=settings.data_centre,
+            call_address=settings.call_address,
+            mesh_address=settings.mesh_address,
+        )
+        self.showing = Showing(own, self.beside, self.mesh.spreader.tell)
         self.table_of = None
 
     def duties(self):
@@ -268,29 +275,10 @@
             again: Whether to spread it even when it has not, so that it
                 outdates what others may have concluded.
         """
-        latest = self.beside.latest
-        condition = self.beside.condition
-        if self.host.leaving:
-            condition = Condition.LEAVING
-        presence = Presence(
-            node=self.settings.node,
-            incarnation=self.incarnation,
-            sequence=self.sequence,
-            data_centre=self.settings.data_centre,
-            call_address=self.settings.call_address,
-            mesh_address=self.settings.mesh_address,
-            service=latest.service if latest else "",
-            target_version=latest.target_version if latest else "",
-            condition=condition,
-            slots=latest.slots if latest else 0,
-        )
-        if presence == self.shown and not again:
+        before = self.showing.shown
+        if not self.showing.show(leaving=self.host.leaving, again=again):
             return
-        before = self.shown
-        self.sequence += 1
-        self.shown = dataclasses.replace(presence, sequence=self.sequence)
-        self.mesh.spreader.tell(self.shown)
-        if before is None or before.service != presence.service:
+        if before is None or before.service != self.showing.shown.service:
             self._put_in_force()
 
     def leave(self) -> None:
@@ -356,7 +344,8 @@
         state = self.holder.state
         if not self.holder.current or state.version == 0:
             return
-        service = self.shown.service if self.shown else ""
+        shown = self.showing.shown
+        service = shown.service if shown else ""
         shape = (state.version, service)
         if shape != self.table_of:
             self.table_of = shape
@@ -379,11 +368,12 @@
             self.entry.sender.node_lost(fact.node)
         if fact.node != self.settings.node:
             return
-        if fact is self.shown or fact.incarnation < self.incarnation:
+        showing = self.showing
+        if fact is showing.shown or fact.incarnation < self.incarnation:
             return
-        if fact.sequence >= self.sequence and fact != self.shown:
+        if fact.sequence >= showing.sequence and fact != showing.shown:
             # Others took this node for lost; it says that it is not.
-            self.sequence = fact.sequence
+            showing.sequence = fact.sequence
             self.show(again=True)
 
     def _placed(self) -> None:
--- /dev/null
+++ b/src/fulmarrudder/node/showing.py
@@ -0,0 +1,57 @@
+"""What a node shows of itself: its presence, counted up when it changes."""
+
+import dataclasses
+from collections.abc import Callable
+
+from fulmarrudder.membership import Beside
+from fulmarrudder.model import Condition, Presence
+
+
+class Showing:
+    """Keeps this node's presence in line with the target beside it.
+
+    Attributes:
+        own: What does not change while the process runs.
+        incarnation: Start of the process, in wall-clock milliseconds.
+        sequence: Counts changes within the incarnation.
+        shown: The presence that was spread last, or None.
+    """
+
+    def __init__(
+        self, own: Presence, beside: Beside, tell: Callable[[Presence], None]
+    ):
+        self.own = own
+        self.beside = beside
+        self.tell = tell
+        self.incarnation = own.incarnation
+        self.sequence = own.sequence
+        self.shown: Presence | None = None
+
+    def show(self, *, leaving: bool, again: bool = False) -> bool:
+        """Spreads this node's presence when it has changed.
+
+        Args:
+            leaving: Whether the node is leaving.
+            again: Whether to spread it even when it has not changed, so that
+                it outdates what others may have concluded.
+
+        Returns:
+            Whether it was spread.
+        """
+        latest = self.beside.latest
+        condition = self.beside.condition
+        presence = dataclasses.replace(
+            self.own,
+            incarnation=self.incarnation,
+            sequence=self.sequence,
+            service=latest.service if latest else "",
+            target_version=latest.target_version if latest else "",
+            condition=Condition.LEAVING if leaving else condition,
+            slots=latest.slots if latest else 0,
+        )
+        if presence == self.shown and not again:
+            return False
+        self.sequence += 1
+        self.shown = dataclasses.replace(presence, sequence=self.sequence)
+        self.tell(self.shown)
+        return True
