Lease: held with the topic's first partition, not with any

Test first: it failed, then the client looks at the first partition. Ruled out: lapsed leases (all four were renewed).

--- a/src/fulmarrudder/platform/lease.py
+++ b/src/fulmarrudder/platform/lease.py
@@ -1,4 +1,4 @@
-"""Lease of the controller's duty: a group whose only partition it is."""
+"""Lease of the controller's duty: who holds a topic's first partition."""
 
 from twisted.internet.defer import ensureDeferred
 
--- a/src/fulmarrudder/platform/store.py
+++ b/src/fulmarrudder/platform/store.py
@@ -31,6 +31,7 @@
 # Beyond the time for which a read waits for a record.
 READ_SLACK_S = 1.0
 CONFLICT = frozenset({409, 412})
+FIRST_PART = 0
 LENGTH = struct.Struct(">I")
 EDGES = struct.Struct(">QQ")
 
@@ -76,7 +77,7 @@
 
     Attributes:
         generation: Rises with each change of the group.
-        holds: Whether the member holds the group's only partition.
+        holds: Whether the member holds the topic's first partition.
     """
 
     generation: int
@@ -193,7 +194,8 @@
         Args:
             group: The group.
             member: Id of the member.
-            topic: Topic whose only partition is dealt out.
+            topic: Topic whose first partition is what is held; it has more,
+                which are dealt out among the members alike.
             ttl_s: Seconds of silence after which the member is out.
             generation: The latest generation received, or 0.
 
@@ -210,7 +212,10 @@
         reply = await self._post("/-/log-join", {}, json.dumps(body).encode())
         answer = _object(reply)
         try:
-            held = any(row[0] == topic for row in answer["parts"])
+            held = any(
+                row[0] == topic and row[1] == FIRST_PART
+                for row in answer["parts"]
+            )
             return Membership(generation=answer["generation"], holds=held)
         except (KeyError, TypeError, IndexError) as error:
             raise RefusedError(reply.status, f"join: {error}") from error
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -146,6 +146,16 @@
     assert not result_of(again).holds
 
 
+def test_lease_is_the_first_partition_and_no_other(scene):
+    """Esfera's scale-1: four nodes held a move's lease at once."""
+    joining = scene.call(
+        scene.store.join("g", "me", "t", ttl_s=2.0, generation=0)
+    )
+    answer = {"generation": 7, "parts": [["t", 3, 0], ["t", 1, 0]]}
+    scene.answer(json.dumps(answer).encode())
+    assert not result_of(joining).holds
+
+
 def test_errors_of_the_call_path_do_not_leave_the_client():
     assert not issubclass(AwayError, CallError)
 
