--- a/src/fulmarrudder/call/answer.py
+++ b/src/fulmarrudder/call/answer.py
@@ -27,9 +27,11 @@
 
     Attributes:
         head: The head.
+        refusal: The refusal that it tells, or None.
     """
 
     head: ResponseHead
+    refusal: Refusal | None
 
     def stream_to(self, sink: AnswerSink) -> None:
         """Sends the body to a sink."""
@@ -66,7 +68,12 @@
         """Does nothing; there is nothing to give up."""
 
 
-def refused(refusal: Refusal) -> WholeAnswer:
-    """Returns the answer that tells a refusal."""
-    body = refusal_body(refusal)
+def refused(refusal: Refusal, *, to_node: bool = False) -> WholeAnswer:
+    """Returns the answer that tells a refusal.
+
+    Args:
+        refusal: The refusal.
+        to_node: Whether it goes to a node, which reads its head only.
+    """
+    body = b"" if to_node else refusal_body(refusal)
     return WholeAnswer(refusal_head(refusal, body), body, refusal)
--- a/src/fulmarrudder/call/body.py
+++ b/src/fulmarrudder/call/body.py
@@ -51,11 +51,17 @@
         "waiting",
     )
 
-    def __init__(self, source):
+    def __init__(self, source, *, empty: bool = False):
+        """Makes the body of a request.
+
+        Args:
+            source: Transport that it comes from.
+            empty: Whether the request's head says that there is none.
+        """
         self.source = source
         self.kept: list[bytes] = []
         self.total = 0
-        self.ended = False
+        self.ended = empty
         self.lost = False
         self.replayable = True
         self.sink: BodySink | None = None
@@ -77,6 +83,8 @@
 
     def receive_end(self) -> None:
         """Receives the end from the connection."""
+        if self.ended:
+            return
         self.ended = True
         # The connection outlives this body and has to be read further.
         self.resumeProducing()
--- a/src/fulmarrudder/call/codec.py
+++ b/src/fulmarrudder/call/codec.py
@@ -4,6 +4,7 @@
 typed messages only, so another codec can take this module's place.
 """
 
+import functools
 import json
 from http import HTTPStatus
 
@@ -18,9 +19,12 @@
     BodyEnd,
     BodyPart,
     Continue,
+    Field,
     Framing,
     Headers,
+    Ran,
     Refusal,
+    RefusalReason,
     RequestHead,
     ResponseHead,
 )
@@ -35,6 +39,9 @@
 BODILESS_STATUS = frozenset({204, 304})
 _REASONS = {status.value: status.phrase.encode() for status in HTTPStatus}
 
+# What refusals tell of themselves, as it is written.
+_TOLD = {member: member.value.encode() for member in (*Ran, *RefusalReason)}
+
 Event = RequestHead | ResponseHead | BodyPart | BodyEnd | Continue
 
 
@@ -58,10 +65,11 @@
         self.header_bytes += len(name) + len(value) + 4
         if self.header_bytes > HEADER_BYTES_LIMIT:
             raise ProtocolError("header fields too large", status=431)
-        if len(self.fields) >= HEADER_COUNT_LIMIT:
+        if not self.in_head:
+            return
+        self.fields.append((name.lower(), value))
+        if len(self.fields) > HEADER_COUNT_LIMIT:
             raise ProtocolError("too many header fields", status=431)
-        if self.in_head:
-            self.fields.append((name.lower(), value))
 
     def on_body(self, data: bytes) -> None:
         self.events.append(BodyPart(data))
@@ -229,41 +237,62 @@
     return Framing.LENGTH, int(length)
 
 
-def _fields(headers: Headers, framing: Framing, length: int) -> bytes:
-    lines = [b"%b: %b\r\n" % field for field in headers.fields]
+def _framing_line(framing: Framing, length: int) -> bytes:
     if framing is Framing.LENGTH:
-        lines.append(b"content-length: %d\r\n" % length)
+        return b"content-length: %d\r\n" % length
     if framing is Framing.CHUNKED:
-        lines.append(b"transfer-encoding: chunked\r\n")
-    return b"".join(lines)
+        return b"transfer-encoding: chunked\r\n"
+    return b""
+
 
+def encode_request(head: RequestHead, fields: tuple[Field, ...] = ()) -> bytes:
+    """Encodes a request head; its headers must not frame the body.
 
-def encode_request(head: RequestHead) -> bytes:
-    """Encodes a request head; its headers must not frame the body."""
-    line = b"%b %b HTTP/1.1\r\n" % (head.method, head.target)
-    length = b""
+    Args:
+        head: The head.
+        fields: Fields that this hop adds.
+    """
+    lines = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
+    lines += [b"%b: %b\r\n" % field for field in head.headers.fields]
+    lines += [b"%b: %b\r\n" % field for field in fields]
+    lines.append(_framing_line(head.framing, head.length))
     if head.framing is Framing.NONE and head.method in (b"POST", b"PUT"):
-        length = b"content-length: 0\r\n"
-    fields = _fields(head.headers, head.framing, head.length)
-    return line + fields + length + CRLF
+        lines.append(b"content-length: 0\r\n")
+    lines.append(CRLF)
+    return b"".join(lines)
 
 
-def encode_response(head: ResponseHead, *, bodiless: bool = False) -> bytes:
+def encode_response(
+    head: ResponseHead,
+    fields: tuple[Field, ...] = (),
+    *,
+    framing: Framing | None = None,
+    keep_alive: bool | None = None,
+    bodiless: bool = False,
+) -> bytes:
     """Encodes a response head; its headers must not frame the body.
 
     Args:
         head: The head.
+        fields: Fields that this hop adds.
+        framing: How the body is sent on, if not as the head says.
+        keep_alive: Whether the connection stays, if not as the head says.
         bodiless: Whether it answers a HEAD request.
     """
+    framing = head.framing if framing is None else framing
+    keep_alive = head.keep_alive if keep_alive is None else keep_alive
     reason = head.reason or _REASONS.get(head.status, b"Unknown")
-    line = b"HTTP/1.1 %d %b\r\n" % (head.status, reason)
-    length = b""
-    if head.framing is Framing.NONE and head.status not in BODILESS_STATUS:
+    lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, reason)]
+    lines += [b"%b: %b\r\n" % field for field in head.headers.fields]
+    lines += [b"%b: %b\r\n" % field for field in fields]
+    lines.append(_framing_line(framing, head.length))
+    if framing is Framing.NONE and head.status not in BODILESS_STATUS:
         told = head.length if bodiless else 0
-        length = b"content-length: %d\r\n" % told
-    closing = b"" if head.keep_alive else b"connection: close\r\n"
-    fields = _fields(head.headers, head.framing, head.length)
-    return line + fields + length + closing + CRLF
+        lines.append(b"content-length: %d\r\n" % told)
+    if not keep_alive:
+        lines.append(b"connection: close\r\n")
+    lines.append(CRLF)
+    return b"".join(lines)
 
 
 def encode_part(framing: Framing, data: bytes) -> bytes:
@@ -279,26 +308,30 @@
 
 
 def refusal_head(refusal: Refusal, body: bytes) -> ResponseHead:
-    """Returns the response head that tells a refusal."""
-    headers = Headers(
-        (
-            (b"content-type", b"application/json"),
-            (RAN_HEADER, refusal.ran.value.encode()),
-            (REASON_HEADER, refusal.reason.value.encode()),
-        )
-    )
+    """Returns the response head that tells a refusal.
+
+    Args:
+        refusal: The refusal.
+        body: The body that goes with it, or nothing.
+    """
+    fields = [
+        (RAN_HEADER, _TOLD[refusal.ran]),
+        (REASON_HEADER, _TOLD[refusal.reason]),
+    ]
+    if body:
+        fields.append((b"content-type", b"application/json"))
     if refusal.arrived:
-        headers = headers.having((ARRIVED_HEADER, b"yes"))
+        fields.append((ARRIVED_HEADER, b"yes"))
     wait_s = refusal.retry_after_s
     if wait_s is None and refusal.status == HTTPStatus.SERVICE_UNAVAILABLE:
         wait_s = RETRY_AFTER_S
     if wait_s is not None:
         told = f"{wait_s:.3f}".rstrip("0").rstrip(".")
-        headers = headers.having((RETRY_AFTER_HEADER, told.encode()))
+        fields.append((RETRY_AFTER_HEADER, told.encode()))
     return ResponseHead(
         status=refusal.status,
         reason=_REASONS.get(refusal.status, b"Refused"),
-        headers=headers,
+        headers=Headers(tuple(fields)),
         framing=Framing.LENGTH,
         length=len(body),
     )
@@ -306,9 +339,10 @@
 
 def refusal_body(refusal: Refusal) -> bytes:
     """Returns the body that tells a refusal, as JSON."""
-    document = {
-        "error": refusal.reason.value,
-        "ran": refusal.ran.value,
-        "detail": refusal.detail,
-    }
+    return _document(refusal.reason.value, refusal.ran.value, refusal.detail)
+
+
+@functools.lru_cache(maxsize=512)
+def _document(reason: str, ran: str, detail: str) -> bytes:
+    document = {"error": reason, "ran": ran, "detail": detail}
     return json.dumps(document).encode() + b"\n"
--- a/src/fulmarrudder/call/dialect.py
+++ b/src/fulmarrudder/call/dialect.py
@@ -9,6 +9,7 @@
 
 from fulmarrudder.call.message import (
     TIMEOUT_HEADER,
+    Field,
     Headers,
     RequestHead,
     ResponseHead,
@@ -83,14 +84,13 @@
 
 
 def for_target(
-    head: RequestHead, dialect: Dialect, *, left_ms: int, target: str
-) -> RequestHead:
-    """Returns the head that a target is sent.
+    dialect: Dialect, *, left_ms: int, target: str
+) -> tuple[Field, ...]:
+    """Returns the fields that a target is sent beside those of the caller.
 
     Args:
-        head: Head of the request.
         dialect: Field names.
-        left_ms: Milliseconds left to work on it.
+        left_ms: Milliseconds left to work on the request.
         target: Id of the target that alone may run it, or empty.
     """
     fields = []
@@ -98,11 +98,7 @@
         fields.append((dialect.work_until, b"%d" % left_ms))
     if dialect.expected and target:
         fields.append((dialect.expected, target.encode()))
-    if not fields:
-        return head
-    ours = (dialect.work_until, dialect.expected)
-    kept = tuple(f for f in head.headers.fields if f[0] not in ours)
-    return head.with_headers(Headers(kept + tuple(fields)))
+    return tuple(fields)
 
 
 def from_caller(
@@ -110,26 +106,23 @@
 ) -> RequestHead:
     """Returns the head with the calling service set, whatever was sent.
 
+    Fields that the node beside the target sets are taken out as well.
+
     Args:
         head: Head of the request.
         dialect: Field names.
         service: Service beside the node where the request began.
     """
-    if not dialect.caller:
-        return head
-    kept = tuple(f for f in head.headers.fields if f[0] != dialect.caller)
-    return head.with_headers(
-        Headers((*kept, (dialect.caller, service.encode())))
-    )
+    ours = (dialect.caller, dialect.work_until, dialect.expected)
+    kept = tuple(f for f in head.headers.fields if f[0] not in ours)
+    if dialect.caller:
+        kept = (*kept, (dialect.caller, service.encode()))
+    return head.with_headers(Headers(kept))
 
 
-def with_id(
-    head: ResponseHead, request: RequestHead, dialect: Dialect
-) -> ResponseHead:
-    """Returns the head of a refusal that names the request it answers."""
+def id_fields(request: RequestHead, dialect: Dialect) -> tuple[Field, ...]:
+    """Returns the field by which a refusal names the request it answers."""
     if not dialect.request_id:
-        return head
+        return ()
     asked = request.headers.get(dialect.request_id)
-    if asked is None:
-        return head
-    return head.with_headers(head.headers.having((dialect.request_id, asked)))
+    return () if asked is None else ((dialect.request_id, asked),)
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -25,7 +25,6 @@
 )
 from fulmarrudder.call.errors import CallError, ConnectError
 from fulmarrudder.call.gather import gather
-from fulmarrudder.call.hop import load_of, without_load
 from fulmarrudder.call.host import Host, LiveAnswer
 from fulmarrudder.call.message import Refusal, RefusalReason, RequestHead
 from fulmarrudder.call.plan import Call, Patience, plan
@@ -160,6 +159,7 @@
             The target's answer, or a refusal.
         """
         arrived = self.clock.seconds()
+        asked = head.headers.get(self.dialect.time_left)
         routed = flow(head, self.steps, Refusal)
         if isinstance(routed, Refusal):
             return refused(routed)
@@ -167,6 +167,7 @@
             routed,
             body,
             ready,
+            asked=asked,
             arrived=arrived,
             span=span,
             traceparent=self.spans.traceparent(span),
@@ -177,7 +178,9 @@
         if isinstance(call, Refusal):
             return refused(call)
         ready()
-        prefix = await body.when_prefix(PREFIX_BYTES)
+        prefix = b""
+        if not body.ended:
+            prefix = await body.when_prefix(PREFIX_BYTES)
         call.fingerprint = fingerprint_of(call.head, prefix)
         suspect = refuse_suspect(self.facts, call.fingerprint, wall_seconds())
         if suspect is not None:
@@ -244,13 +247,11 @@
         return self.in_force.table.match(head, self.rng)
 
     async def _attempts(self, call: Call) -> Answer:
-        last: Answer | None = None
+        last = not_run(RefusalReason.NO_TARGET, "no target to send to")
         while True:
             presence = self._next_endpoint(call)
             if presence is None:
-                return last or refused(
-                    not_run(RefusalReason.NO_TARGET, "no target to send to")
-                )
+                return refused(last)
             call.attempts += 1
             tried = await self._attempt(call, presence)
             call.may_have_run |= may_have_run(tried.ending)
@@ -266,14 +267,13 @@
                     call.span, peer=presence.node, attempts=call.attempts
                 )
                 return tried.answer
-            refusal = truthful(
+            last = truthful(
                 refusal_for(tried.ending), ran_before=call.may_have_run
             )
             if after is Next.REFUSE:
-                return refused(refusal)
+                return refused(last)
             if tried.answer is not None:
                 tried.answer.cancel()
-            last = refused(refusal)
 
     def _decide(self, call: Call, tried: _Tried) -> Next:
         broken = isinstance(tried.ending, Broken)
@@ -331,16 +331,9 @@
         comfort = self._comfort(call)
         try:
             if presence.node == self.node:
-                request = call.request_to(presence, comfort=comfort)
-                answer = await self.host.open(request, call.body, call.ready)
+                tried = await self._ask_own(call, presence, comfort)
             else:
-                answer = await self.sender.send(call, presence, comfort=comfort)
-                self._note_load(presence, answer)
-            if presence.node == self.node:
-                self._note_own(presence)
-            if isinstance(answer, LiveAnswer):
-                answer = await gather(answer, self.clock, call.deadline)
-            tried = _tried_from(answer)
+                tried = await self._ask_other(call, presence, comfort)
             failed = counts_as_failure(tried.ending)
             gone = nothing_there(tried.ending)
         except ConnectError:
@@ -360,6 +353,29 @@
             )
         return tried
 
+    async def _ask_own(self, call, presence, comfort: float) -> _Tried:
+        request = call.request_to(presence, comfort=comfort)
+        answer = await self.host.open(request, call.body, call.ready)
+        told = Told(load=self.host.load, held_s=self.host.slots.held_s)
+        self.chooser.told(presence, self.clock.seconds(), told)
+        if answer.refusal is not None:
+            return _Tried(ending=Declined(refusal=answer.refusal))
+        return await self._answered(call, answer)
+
+    async def _ask_other(self, call, presence, comfort: float) -> _Tried:
+        reply = await self.sender.send(call, presence, comfort=comfort)
+        if reply.told is not None:
+            self.chooser.told(presence, self.clock.seconds(), reply.told)
+        if reply.refusal is not None:
+            return _Tried(ending=Declined(refusal=reply.refusal))
+        return await self._answered(call, reply.answer)
+
+    async def _answered(self, call: Call, answer: Answer) -> _Tried:
+        if isinstance(answer, LiveAnswer):
+            answer = await gather(answer, self.clock, call.deadline)
+        ending = Answered(status=answer.head.status)
+        return _Tried(ending=ending, answer=answer)
+
     def _comfort(self, call: Call) -> float:
         """Returns until when an answer should come from where a call goes.
 
@@ -378,27 +394,9 @@
                 return call.arrived + COMFORT_PART * call.route.aim_ms / 1000
         return 0.0
 
-    def _note_own(self, presence: Presence) -> None:
-        told = Told(load=self.host.load, held_s=self.host.slots.held_s)
-        self.chooser.told(presence, self.clock.seconds(), told)
-
-    def _note_load(self, presence: Presence, answer: Answer) -> None:
-        told = load_of(answer.head)
-        if told is None:
-            return
-        self.chooser.told(presence, self.clock.seconds(), told)
-        answer.head = without_load(answer.head)
-
     def _may_go_elsewhere(self, call: Call) -> bool:
         if call.attempts >= MOST_ATTEMPTS or not call.body.replayable:
             return False
         if self.budget_of(call.service).tokens < 1.0:
             return False
         return self._choose(call) is not None
-
-
-def _tried_from(answer: Answer) -> _Tried:
-    refusal = getattr(answer, "refusal", None)
-    if refusal is not None:
-        return _Tried(ending=Declined(refusal=refusal), answer=answer)
-    return _Tried(ending=Answered(status=answer.head.status), answer=answer)
--- a/src/fulmarrudder/call/gather.py
+++ b/src/fulmarrudder/call/gather.py
@@ -28,6 +28,8 @@
 
     __slots__ = ("head", "live", "parts")
 
+    refusal = None
+
     def __init__(self, live: LiveAnswer, parts: list[bytes]):
         self.head = live.head
         self.live = live
@@ -99,6 +101,9 @@
         return live
     if head.framing is Framing.LENGTH and head.length > GATHER_BYTES:
         return live
+    body = live.exchange.take_whole()
+    if body is not None:
+        return WholeAnswer(head, body)
     gatherer = _Gatherer(live)
     live.stream_to(gatherer)
     left = max(0.0, deadline - clock.seconds())
--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -16,6 +16,7 @@
     RAN_HEADER,
     REASON_HEADER,
     RETRY_AFTER_HEADER,
+    Field,
     Headers,
     Ran,
     Refusal,
@@ -24,7 +25,6 @@
     ResponseHead,
 )
 from fulmarrudder.call.refusals import malformed
-from fulmarrudder.call.screen import strip_own
 
 TIME_LEFT_LIMIT_MS = 24 * 3600 * 1000
 YES = b"yes"
@@ -34,10 +34,10 @@
 EXPECT = (b"expect", b"100-continue")
 
 
-def hop_head(
+def hop_fields(
     request: HostRequest, token: bytes, now: float, *, waits: bool
-) -> RequestHead:
-    """Builds the head that carries a request to another node.
+) -> tuple[Field, ...]:
+    """Builds the fields that carry a request to another node.
 
     One field carries all that nodes tell each other of a request, as bytes
     between data centres are dear.
@@ -70,11 +70,9 @@
             request.fingerprint.encode(),
         )
     )
-    fields = [(PEER_HEADER, value)]
     if waits:
-        fields.append(EXPECT)
-    headers = request.head.headers.having(*fields)
-    return request.head.with_headers(headers)
+        return (PEER_HEADER, value), EXPECT
+    return ((PEER_HEADER, value),)
 
 
 @functools.lru_cache(maxsize=4_096)
@@ -82,9 +80,12 @@
     return b"-" + urllib.parse.quote(name).encode()
 
 
-def token_of(head: RequestHead) -> bytes:
-    """Returns the token that a head from another node carries, or nothing."""
-    shown = head.headers.get(PEER_HEADER) or b""
+def token_of(shown: bytes) -> bytes:
+    """Returns the token in the field that a head from another node carries.
+
+    Args:
+        shown: Value of the field.
+    """
     return shown.partition(b" ")[0]
 
 
@@ -97,18 +98,20 @@
     return head.with_headers(headers)
 
 
-def host_request(head: RequestHead, now: float) -> HostRequest | Refusal:
-    """Reads the request that a hop's head carries.
+def host_request(
+    head: RequestHead, shown: bytes, now: float
+) -> HostRequest | Refusal:
+    """Reads the request that a hop carries.
 
     Args:
         head: A screened head from an authenticated node.
+        shown: Value of the field by which nodes tell each other of it.
         now: Clock seconds.
 
     Returns:
-        The request, or a refusal when fields are missing or wrong.
+        The request, or a refusal when parts are missing or wrong.
     """
-    value = head.headers.get(PEER_HEADER) or b""
-    parts = value.split(b" ")
+    parts = shown.split(b" ")
     if len(parts) != HOP_PARTS:
         return malformed("fields of the hop are missing")
     numbers, (flags, service, version, route, fingerprint) = (
@@ -125,7 +128,7 @@
     repeatable = b"r" in flags
     key = b"" if repeatable else head.headers.get(IDEMPOTENCY_KEY_HEADER) or b""
     return HostRequest(
-        head=strip_own(head),
+        head=head,
         service=_unquoted(service),
         target_version=_unquoted(version),
         route=_unquoted(route),
@@ -144,7 +147,7 @@
     return urllib.parse.unquote(name[1:].decode("latin-1"))
 
 
-def load_field(load: int, held_s: float) -> tuple[bytes, bytes]:
+def load_field(load: int, held_s: float) -> Field:
     """Returns the field by which a node tells how busy its target is.
 
     Args:
@@ -165,12 +168,6 @@
     return Told(load=int(load), held_s=int(held_ms) / 1000)
 
 
-def without_load(head: ResponseHead) -> ResponseHead:
-    """Returns an answer's head for a caller."""
-    kept = tuple(f for f in head.headers.fields if f[0] != LOAD_HEADER)
-    return head.with_headers(Headers(kept))
-
-
 def refusal_of(head: ResponseHead) -> Refusal | None:
     """Returns the refusal that another node's answer tells, or None."""
     ran = head.headers.get(RAN_HEADER)
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -52,6 +52,10 @@
 from fulmarrudder.model import Condition, Strike
 from fulmarrudder.observe import logs
 
+# For so long a target that closed a connection must keep a new one open to
+# count as alive: a kernel takes some milliseconds to clear a process away.
+PROBE_S = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class HostRequest:
@@ -90,6 +94,8 @@
 
     __slots__ = ("exchange", "head")
 
+    refusal = None
+
     def __init__(self, head: ResponseHead, exchange: Exchange):
         self.head = head
         self.exchange = exchange
@@ -165,7 +171,7 @@
         """
         refusal = self.refuse(request)
         if refusal is not None:
-            return refused(refusal)
+            return _declined(refusal)
         ask = Ask(
             deadline=request.deadline,
             prompt=request.prompt,
@@ -180,12 +186,12 @@
         try:
             await granted
         except SlotError as error:
-            return refused(self._too_busy(request, str(error)))
+            return _declined(self._too_busy(request, str(error)))
         # What has changed while the request waited binds as well.
         refusal = self.refuse(request)
         if refusal is not None:
             self.slots.release()
-            return refused(refusal)
+            return _declined(refusal)
         hold = _Hold(self, request.route)
         try:
             if not request.key:
@@ -251,7 +257,7 @@
             answer.stream_to(collector)
             data = await collector.whole
         except CallError as error:
-            return refused(broken(str(error)))
+            return _declined(broken(str(error)))
         finally:
             hold.shared = False
             hold.settle()
@@ -270,25 +276,22 @@
             )
         except ConnectError:
             self.beside.refused_connection()
-            return refused(
+            return _declined(
                 not_run(RefusalReason.UNREACHABLE, "target refuses connections")
             )
         ready()
         started = self.clock.seconds()
         left = max(0.0, request.deadline - started)
-        sent = for_target(
-            request.head,
-            self.dialect,
-            left_ms=int(left * 1000),
-            target=target.id,
+        fields = for_target(
+            self.dialect, left_ms=int(left * 1000), target=target.id
         )
-        exchange = connection.start(sent, body)
+        exchange = connection.start(request.head, body, fields)
         hold.take(exchange)
         try:
-            head = await exchange.begun.addTimeout(left, self.clock)
+            head = await exchange.until(request.deadline)
         except TimeoutError:
             self._tally(request, started, failed=True)
-            return refused(late("target gave no answer in time"))
+            return _declined(late("target gave no answer in time"))
         except CancelledError:
             # Whoever waited gave up: it took this long at the least.
             if self.clock.seconds() - started >= PATIENCE_LEAST_S:
@@ -296,16 +299,16 @@
             raise
         except BrokenError as error:
             if body.lost:
-                return refused(broken("request body was cut off"))
+                return _declined(broken("request body was cut off"))
             self._tally(request, started, failed=True)
             ensureDeferred(self._probe(request, address, incarnation))
-            return refused(broken(f"target closed: {error}"))
+            return _declined(broken(f"target closed: {error}"))
         sound = soundness(head, request.head, self.dialect)
         if sound is not Soundness.SOUND:
             return await self._unsound(request, sound, head, exchange)
         failed = head.status >= FAILED_FROM
         self._tally(request, started, failed=failed)
-        return LiveAnswer(clean_response(head, from_target=True), exchange)
+        return LiveAnswer(clean_response(head), exchange)
 
     async def _unsound(
         self, request: HostRequest, sound: Soundness, head, exchange: Exchange
@@ -320,11 +323,11 @@
         if sound is Soundness.FOREIGN:
             exchange.cancel()
             self._tally(request, self.clock.seconds(), failed=True)
-            return refused(broken("target's answer was not to this request"))
+            return _declined(broken("target's answer was not to this request"))
         if sound is Soundness.MISDIRECTED:
             exchange.cancel()
             self.beside.refused_connection()
-            return refused(
+            return _declined(
                 not_run(
                     RefusalReason.MISDIRECTED,
                     "another target has the address",
@@ -335,7 +338,7 @@
         exchange.stream_to(collector)
         collector.whole.addErrback(lambda failure: failure.trap(CallError))
         await collector.whole
-        return refused(
+        return _declined(
             not_run(
                 RefusalReason.SHED,
                 "target turned the request away",
@@ -352,10 +355,20 @@
         try:
             connection = await self.pool.take(address, fresh=True)
         except ConnectError:
-            self.beside.refused_connection()
-            self._strike(request, address, incarnation)
-            return
-        self.pool.give_back(connection)
+            connection = None
+        if connection is not None:
+            # One that dies may accept connections until it is gone.
+            await self._rest(PROBE_S)
+            if not connection.lost:
+                self.pool.give_back(connection)
+                return
+        self.beside.refused_connection()
+        self._strike(request, address, incarnation)
+
+    def _rest(self, seconds: float) -> Deferred:
+        done: Deferred = Deferred()
+        self.clock.callLater(seconds, done.callback, None)
+        return done
 
     def _tally(self, request: HostRequest, started: float, *, failed) -> None:
         now = self.clock.seconds()
@@ -393,6 +406,10 @@
         return self.claims[service]
 
 
+def _declined(refusal: Refusal) -> Answer:
+    return refused(refusal, to_node=True)
+
+
 class _Hold:
     """A slot in use, given back once whatever comes first."""
 
--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -14,6 +14,9 @@
 IDEMPOTENCY_KEY_HEADER = b"idempotency-key"
 
 
+Field = tuple[bytes, bytes]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Headers:
     """Header fields in their order; names are lower case.
@@ -22,7 +25,7 @@
         fields: Pairs of name and value.
     """
 
-    fields: tuple[tuple[bytes, bytes], ...] = ()
+    fields: tuple[Field, ...] = ()
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a field, or None."""
@@ -35,10 +38,6 @@
         """Counts the fields with a name."""
         return sum(1 for found, _ in self.fields if found == name)
 
-    def having(self, *fields: tuple[bytes, bytes]) -> "Headers":
-        """Returns the headers with fields added at the end."""
-        return Headers(self.fields + fields)
-
 
 class Framing(enum.Enum):
     """How the end of a body is told."""
--- a/src/fulmarrudder/call/outlet.py
+++ b/src/fulmarrudder/call/outlet.py
@@ -17,9 +17,10 @@
         transport: The transport.
         held: What has been written in this turn of the loop.
         due: The call that will send it, or None.
+        corked: Whether whoever writes will say when to send.
     """
 
-    __slots__ = ("clock", "direct", "due", "held", "transport")
+    __slots__ = ("clock", "corked", "direct", "due", "held", "transport")
 
     def __init__(self, transport, clock: Clock):
         self.transport = transport
@@ -27,6 +28,16 @@
         self.direct = hasattr(transport, "writeSomeData")
         self.held: list[bytes] = []
         self.due = None
+        self.corked = False
+
+    def cork(self) -> None:
+        """Holds what is written until `uncork`, or the end of a message."""
+        self.corked = True
+
+    def uncork(self) -> None:
+        """Sends what is held, and holds nothing any longer than a turn."""
+        self.corked = False
+        self.flush()
 
     def write(self, data: bytes) -> None:
         """Writes bytes by the end of this turn of the loop."""
@@ -34,7 +45,7 @@
             self.transport.write(data)
             return
         self.held.append(data)
-        if self.due is None:
+        if self.due is None and not self.corked:
             self.due = self.clock.callLater(0, self.flush)
 
     def send(self, data: bytes) -> None:
@@ -54,6 +65,8 @@
             return
         data = b"".join(self.held)
         self.held = []
+        if not data:
+            return
         transport = self.transport
         if len(data) <= EAGER_LIMIT_BYTES and self._idle():
             sent = transport.writeSomeData(data)
@@ -70,6 +83,11 @@
             return False
         return not transport.dataBuffer and not transport._tempDataBuffer
 
+    def abort(self) -> None:
+        """Drops what is held and resets the connection."""
+        self.held = []
+        self.transport.abortConnection()
+
     def close(self) -> None:
         """Sends what is held, then closes the connection."""
         self.flush()
--- a/src/fulmarrudder/call/plan.py
+++ b/src/fulmarrudder/call/plan.py
@@ -14,7 +14,6 @@
 )
 from fulmarrudder.call.refusals import malformed
 from fulmarrudder.call.route import Routed
-from fulmarrudder.call.screen import strip_own
 from fulmarrudder.model import Presence, Route
 
 SAFE_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE"})
@@ -118,6 +117,7 @@
     body: RequestBody,
     ready: Callable[[], None],
     *,
+    asked: bytes | None,
     arrived: float,
     span,
     traceparent: bytes | None,
@@ -131,6 +131,7 @@
         routed: The request and its route.
         body: Its body.
         ready: Called once the body is wanted.
+        asked: For how long the caller will wait, as it wrote it, or None.
         arrived: Clock seconds.
         span: Span of the call, or None.
         traceparent: Field that names the span, or None.
@@ -140,7 +141,6 @@
     """
     head, route = routed.head, routed.route
     timeout_ms = route.timeout_ms
-    asked = head.headers.get(dialect.time_left)
     spent_ms = 0
     if asked is not None:
         if not asked.isdigit():
@@ -156,7 +156,7 @@
     prompt = 0.0
     if route.aim_ms:
         prompt = arrived + (route.aim_ms - spent_ms) / 1000
-    head = from_caller(traced(strip_own(head), traceparent), dialect, caller)
+    head = from_caller(traced(head, traceparent), dialect, caller)
     return Call(
         head=head,
         service=routed.service,
--- a/src/fulmarrudder/call/screen.py
+++ b/src/fulmarrudder/call/screen.py
@@ -33,7 +33,7 @@
 
 
 def screen(head: RequestHead) -> RequestHead | Refusal:
-    """Checks a head and removes what concerns one hop only.
+    """Checks a head, and removes what concerns one hop or nodes only.
 
     Args:
         head: The head as the codec gave it.
@@ -59,23 +59,13 @@
     return head.with_headers(sifted.kept)
 
 
-def strip_own(head: RequestHead) -> RequestHead:
-    """Removes fields that only nodes may set."""
-    return head.with_headers(_without_own(head.headers))
-
-
-def clean_response(head: ResponseHead, *, from_target: bool) -> ResponseHead:
-    """Removes from a response what concerns one hop only.
+def clean_response(head: ResponseHead) -> ResponseHead:
+    """Removes from a response what concerns one hop or nodes only.
 
     Args:
         head: The head as the codec gave it.
-        from_target: Whether it comes from a target, which must not set the
-            fields that only nodes may set.
     """
-    headers = _sift(head.headers).kept
-    if from_target:
-        headers = _without_own(headers)
-    return head.with_headers(headers)
+    return head.with_headers(_sift(head.headers).kept)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -83,7 +73,7 @@
     """Header fields, sifted in one pass.
 
     Attributes:
-        kept: Fields that concern more than one hop.
+        kept: Fields that concern more than one hop, and not nodes only.
         hosts: How many Host fields there are.
         expect: Value of the first Expect field, or None.
         named: Fields that Connection names, which are not kept either.
@@ -105,7 +95,8 @@
         if name == b"host":
             hosts += 1
         if name not in HOP_BY_HOP:
-            kept.append(field)
+            if not name.startswith(OWN_PREFIX):
+                kept.append(field)
             continue
         if name == b"connection":
             named |= {part.strip().lower() for part in value.split(b",")}
@@ -116,9 +107,3 @@
     return _Sifted(
         kept=Headers(tuple(kept)), hosts=hosts, expect=expect, named=named
     )
-
-
-def _without_own(headers: Headers) -> Headers:
-    fields = headers.fields
-    kept = tuple(f for f in fields if not f[0].startswith(OWN_PREFIX))
-    return headers if len(kept) == len(fields) else Headers(kept)
--- a/src/fulmarrudder/call/sender.py
+++ b/src/fulmarrudder/call/sender.py
@@ -1,17 +1,16 @@
 """Filter: sends a call to the node beside a target, and waits for its answer."""
 
 import collections
+import dataclasses
 from collections.abc import Callable
 
-from fulmarrudder.call.answer import Answer, WholeAnswer
-from fulmarrudder.call.choose import Chooser
-from fulmarrudder.call.collect import Collector
-from fulmarrudder.call.hop import hop_head, refusal_of
+from fulmarrudder.call.choose import Chooser, Told
+from fulmarrudder.call.hop import hop_fields, load_of, refusal_of
 from fulmarrudder.call.host import LiveAnswer
-from fulmarrudder.call.message import Framing, ResponseHead
+from fulmarrudder.call.message import Framing, Refusal, ResponseHead
 from fulmarrudder.call.plan import Call
 from fulmarrudder.call.screen import clean_response
-from fulmarrudder.call.upstream import Exchange, Pool
+from fulmarrudder.call.upstream import NOWHERE, Exchange, Pool
 from fulmarrudder.clock import Clock
 from fulmarrudder.model import Presence
 
@@ -19,7 +18,21 @@
 # Larger bodies wait until the other node wants them, which costs a round trip
 # and spares the bytes where it does not.
 OFFER_BYTES = 8_192
-REFUSAL_BYTES = 65_536
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Reply:
+    """What another node made of a call.
+
+    Attributes:
+        answer: The target's answer, or None when the node refused.
+        refusal: The refusal, or None.
+        told: What the node told of its target, or None.
+    """
+
+    answer: LiveAnswer | None = None
+    refusal: Refusal | None = None
+    told: Told | None = None
 
 
 class Sender:
@@ -56,7 +69,7 @@
 
     async def send(
         self, call: Call, presence: Presence, *, comfort: float = 0.0
-    ) -> Answer:
+    ) -> Reply:
         """Sends a call to a node.
 
         Args:
@@ -77,44 +90,41 @@
             call.head.length > OFFER_BYTES
         )
         request = call.request_to(presence, comfort=comfort)
-        head = hop_head(request, self.token, now, waits=waits)
-        exchange = connection.start(head, call.body, waits=waits)
+        fields = hop_fields(request, self.token, now, waits=waits)
+        exchange = connection.start(call.head, call.body, fields, waits=waits)
         if call.idempotent:
-            answer_head = await self._with_patience(exchange, call, presence)
+            head = await self._with_patience(exchange, call, presence)
         else:
-            answer_head = await self._until_deadline(exchange, call)
-        answer = LiveAnswer(
-            clean_response(answer_head, from_target=False), exchange
+            head = await exchange.until(call.deadline + HOP_GRACE_S)
+        told, refusal = load_of(head), refusal_of(head)
+        if refusal is not None:
+            # Nothing of its body is wanted, so nobody waits for that.
+            exchange.stream_to(NOWHERE)
+            return Reply(refusal=refusal, told=told)
+        return Reply(
+            answer=LiveAnswer(clean_response(head), exchange), told=told
         )
-        refusal = refusal_of(answer_head)
-        if refusal is None:
-            return answer
-        collector = Collector(REFUSAL_BYTES)
-        answer.stream_to(collector)
-        data = await collector.whole
-        return WholeAnswer(answer.head, data, refusal)
 
     def node_lost(self, node: str) -> None:
         """Gives up what waits for a node that was declared lost."""
         for exchange, call in tuple(self.waiting.get(node, {}).items()):
             self._give_up(exchange, call)
 
-    def _until_deadline(self, exchange: Exchange, call: Call):
-        left = max(0.0, call.deadline - self.clock.seconds()) + HOP_GRACE_S
-        return exchange.begun.addTimeout(left, self.clock)
-
     async def _with_patience(
         self, exchange: Exchange, call: Call, presence: Presence
     ) -> ResponseHead:
-        late = self.clock.callLater(
-            self.chooser.patience(presence), self._give_up, exchange, call
-        )
+        patience_s = self.chooser.patience(presence)
+        late = None
+        if self.clock.seconds() + patience_s < call.deadline:
+            late = self.clock.callLater(
+                patience_s, self._give_up, exchange, call
+            )
         self.waiting[presence.node][exchange] = call
         try:
-            return await self._until_deadline(exchange, call)
+            return await exchange.until(call.deadline + HOP_GRACE_S)
         finally:
             self._forget(presence.node, exchange)
-            if late.active():
+            if late is not None and late.active():
                 late.cancel()
 
     def _give_up(self, exchange: Exchange, call: Call) -> None:
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -10,16 +10,16 @@
     encode_part,
     encode_response,
 )
-from fulmarrudder.call.dialect import with_id
+from fulmarrudder.call.dialect import id_fields
 from fulmarrudder.call.hop import host_request, load_field, traced
 from fulmarrudder.call.message import (
     PEER_HEADER,
+    Field,
     Framing,
     Ran,
     Refusal,
     RefusalReason,
     RequestHead,
-    ResponseHead,
 )
 from fulmarrudder.call.screen import screen
 from fulmarrudder.observe import logs
@@ -54,7 +54,8 @@
         self.transport = connection.transport
         self.outlet = connection.outlet
         self.head = head
-        self.body = RequestBody(self.transport)
+        empty = head.framing is Framing.NONE
+        self.body = RequestBody(self.transport, empty=empty)
         self.opening: Deferred | None = None
         self.answer: Answer | None = None
         self.framing = Framing.NONE
@@ -70,18 +71,18 @@
 
     def start(self) -> None:
         """Opens the call."""
-        peer = self.head.headers.get(PEER_HEADER) is not None
-        self.role = "host" if peer else "entry"
+        shown = self.head.headers.get(PEER_HEADER)
+        self.role = "entry" if shown is None else "host"
         self.span = self.factory.spans.start(
             self.role,
             self.head.headers.get(b"traceparent"),
             server=True,
         )
-        opening = ensureDeferred(self._open(peer))
+        opening = ensureDeferred(self._open(shown))
         self.opening = opening
         opening.addCallbacks(self._opened, self._failed)
 
-    async def _open(self, peer: bool) -> Answer:
+    async def _open(self, shown: bytes | None) -> Answer:
         if self.head.length > self.factory.limits.body_bytes:
             return refused(
                 Refusal(
@@ -91,14 +92,14 @@
                     detail="body is larger than the limit",
                 )
             )
-        if not peer:
+        if shown is None:
             return await self.factory.entry.open(
                 self.head,
                 self.body,
                 self.ready,
                 self.span,
             )
-        if not self.factory.is_peer(self.head):
+        if not self.factory.is_peer(shown):
             return refused(
                 Refusal(
                     status=403,
@@ -112,11 +113,11 @@
         steps = (
             screen,
             lambda head: traced(head, traceparent),
-            lambda head: host_request(head, now),
+            lambda head: host_request(head, shown, now),
         )
         host_call = flow(self.head, steps, Refusal)
         if isinstance(host_call, Refusal):
-            return refused(host_call)
+            return refused(host_call, to_node=True)
         return await self.factory.host.open(host_call, self.body, self.ready)
 
     def ready(self) -> None:
@@ -132,7 +133,7 @@
             answer.cancel()
             return
         self.answer = answer
-        head = self._told_head(answer)
+        head = answer.head
         self.framing = head.framing
         if head.framing is Framing.CLOSE:
             self.framing = Framing.CHUNKED
@@ -144,29 +145,28 @@
         unread = bodied and not self.body.ended and not self.body.sink
         if unread or self.framing is Framing.CLOSE or self.factory.leaving:
             self.keep_alive = False
-        sent = ResponseHead(
-            status=head.status,
-            reason=head.reason,
-            headers=head.headers,
+        sent = encode_response(
+            head,
+            self._told(answer),
             framing=self.framing,
-            length=head.length,
             keep_alive=self.keep_alive,
+            bodiless=self.head.method == b"HEAD",
         )
-        bodiless = self.head.method == b"HEAD"
-        self.outlet.write(encode_response(sent, bodiless=bodiless))
+        # What has come of the body goes out with the head.
+        self.outlet.cork()
+        self.outlet.write(sent)
         answer.stream_to(self)
+        self.outlet.uncork()
         # Accounts come last, so that the caller does not wait for them.
         self._observe(answer)
 
-    def _told_head(self, answer: Answer) -> ResponseHead:
-        head = answer.head
+    def _told(self, answer: Answer) -> tuple[Field, ...]:
         if self.role == "host":
             host = self.factory.host
-            field = load_field(host.load, host.slots.held_s)
-            return head.with_headers(head.headers.having(field))
-        if getattr(answer, "refusal", None) is not None:
-            return with_id(head, self.head, self.factory.entry.dialect)
-        return head
+            return (load_field(host.load, host.slots.held_s),)
+        if answer.refusal is not None:
+            return id_fields(self.head, self.factory.entry.dialect)
+        return ()
 
     def _observe(self, answer: Answer) -> None:
         took = self.factory.clock.seconds() - self.started
@@ -178,7 +178,7 @@
             ("status", f"{status // 100}xx"),
         )
         metrics.time("fulmarrudder_call_seconds", took, ("role", self.role))
-        refusal = getattr(answer, "refusal", None)
+        refusal = answer.refusal
         if refusal is not None:
             metrics.count(
                 "fulmarrudder_refusals_total",
@@ -193,11 +193,12 @@
             # The entry node asks elsewhere; what comes of it is one line there.
             return
         factory = self.factory
+        if not factory.lines.room(factory.clock.seconds()):
+            return
         name = factory.entry.dialect.request_id
         asked = self.head.headers.get(name) if name else None
         state = factory.entry.in_force.state
-        factory.lines.info(
-            factory.clock.seconds(),
+        factory.lines.write(
             "call-refused",
             role=self.role,
             request=asked.decode("latin-1") if asked else "-",
@@ -263,7 +264,7 @@
         """Cuts the answer off, so that nobody takes it for a whole one."""
         if self.done:
             return
-        self.transport.abortConnection()
+        self.outlet.abort()
         self._finish(False)
 
     def close_when_done(self) -> None:
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -23,7 +23,6 @@
     Refusal,
     RefusalReason,
     RequestHead,
-    ResponseHead,
 )
 from fulmarrudder.call.outlet import Outlet
 from fulmarrudder.call.served import ServedCall
@@ -107,9 +106,13 @@
             elif connection.idle_until < now:
                 connection.close_if_idle()
 
-    def is_peer(self, head: RequestHead) -> bool:
-        """Tells whether a head carries the nodes' token."""
-        return hmac.compare_digest(token_of(head), self.token)
+    def is_peer(self, shown: bytes) -> bool:
+        """Tells whether a head carries the nodes' token.
+
+        Args:
+            shown: Value of the field for nodes.
+        """
+        return hmac.compare_digest(token_of(shown), self.token)
 
 
 class CallConnection(Protocol):
@@ -221,21 +224,13 @@
             status=error.status, reason=reason, ran=Ran.NO, detail=str(error)
         )
         answer = refused(refusal)
-        head = answer.head
         self.factory.metrics.count(
             "fulmarrudder_refusals_total",
             ("reason", reason.value),
             ("ran", "no"),
         )
-        closing = ResponseHead(
-            status=head.status,
-            reason=head.reason,
-            headers=head.headers,
-            framing=head.framing,
-            length=head.length,
-            keep_alive=False,
-        )
-        self.outlet.write(encode_response(closing) + answer.body)
+        sent = encode_response(answer.head, keep_alive=False)
+        self.outlet.write(sent + answer.body)
         self.closing = True
         self.outlet.close()
 
@@ -247,7 +242,7 @@
         if not reusable or self.factory.leaving:
             self.closing = True
             self.outlet.close()
-        else:
+        elif self.events or self.stalled:
             self.factory.clock.callLater(0, self.pump)
 
     def _rest(self) -> None:
--- a/src/fulmarrudder/call/upstream.py
+++ b/src/fulmarrudder/call/upstream.py
@@ -2,12 +2,12 @@
 
 import collections
 import enum
+from functools import singledispatch
 
-from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
+from twisted.internet.defer import CancelledError, Deferred, TimeoutError
 from twisted.internet.error import ConnectionDone
 from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Factory, Protocol
+from twisted.internet.protocol import ClientFactory, Protocol
 from zope.interface import implementer
 
 from fulmarrudder.call.answer import AnswerSink
@@ -23,6 +23,7 @@
     BodyEnd,
     BodyPart,
     Continue,
+    Field,
     Framing,
     RequestHead,
     ResponseHead,
@@ -55,7 +56,9 @@
     """One request and its answer on one connection.
 
     Attributes:
-        begun: Deferred of the `ResponseHead`; fails with `BrokenError`.
+        begun: Deferred of the `ResponseHead`; fails with `BrokenError`. It
+            fires after the pieces of the body that came with the head have
+            been taken, and before the end has.
         head: The response head once it has come.
         on_end: Called once with an `Ended`.
     """
@@ -64,6 +67,7 @@
         "begun",
         "body",
         "body_sent",
+        "clock",
         "connection",
         "framing",
         "head",
@@ -71,10 +75,15 @@
         "on_end",
         "paused",
         "sink",
+        "timer",
+        "told",
         "waits",
     )
 
-    def __init__(self, connection, head, body: RequestBody | None, waits):
+    def __init__(
+        self, connection, head, body: RequestBody | None, waits, *, clock
+    ):
+        self.clock = clock
         self.connection = connection
         self.framing = head.framing
         self.body = body
@@ -86,6 +95,56 @@
         self.held: list = []
         self.on_end = None
         self.paused = False
+        self.told = False
+        self.timer = None
+
+    def until(self, deadline: float) -> Deferred:
+        """Waits for the answer's head until a deadline.
+
+        Args:
+            deadline: Clock seconds after which the exchange is given up.
+
+        Returns:
+            `begun`, which then fails with `TimeoutError`.
+        """
+        if not self.begun.called:
+            left = max(0.0, deadline - self.clock.seconds())
+            self.timer = self.clock.callLater(left, self._expire)
+        return self.begun
+
+    def _expire(self) -> None:
+        self.timer = None
+        self.cancel()
+        self.begun.errback(TimeoutError("no answer in time"))
+
+    def _stop_timer(self) -> None:
+        timer, self.timer = self.timer, None
+        if timer is not None:
+            timer.cancel()
+
+    def tell_head(self) -> None:
+        """Tells the head that has come, once."""
+        if self.told or self.head is None:
+            return
+        self.told = True
+        self._stop_timer()
+        if not self.begun.called:
+            self.begun.callback(self.head)
+
+    def take_whole(self) -> bytes | None:
+        """Takes the answer's body if all of it came with the head.
+
+        Returns:
+            The body, or None when it has to be streamed.
+        """
+        if self.sink is not None or self.head.framing is not Framing.LENGTH:
+            return None
+        data = b"".join(part.data for part in self.held)
+        if len(data) != self.head.length:
+            return None
+        self.held = []
+        self.sink = NOWHERE
+        return data
 
     def stream_to(self, sink: AnswerSink) -> None:
         """Sends the answer's body to a sink."""
@@ -103,6 +162,7 @@
     def cancel(self) -> None:
         """Gives the exchange up and closes its connection."""
         connection = self.connection
+        self._stop_timer()
         self._detach()
         if connection is not None:
             connection.exchange = None
@@ -143,45 +203,29 @@
 
     def receive(self, event) -> None:
         """Takes an event of the connection's decoder."""
-        if isinstance(event, Continue):
-            if self.waits:
-                self.waits = False
-                self.start_body()
-            return
-        if isinstance(event, ResponseHead):
-            self.head = event
-            self.begun.callback(event)
-            return
-        if isinstance(event, BodyEnd):
-            self._finish()
-        self.deliver(event)
+        _receive(event, self)
 
     def deliver(self, event) -> None:
         """Passes an event on to the sink, or holds it until there is one."""
-        if self.sink is None:
-            self.held.append(event)
-            if len(self.held) > HELD_EVENTS:
-                self.pauseProducing()
-            return
-        if isinstance(event, BodyPart):
-            self.sink.take_part(event.data)
-            return
-        self.sink.take_producer(None)
-        if isinstance(event, BodyEnd):
-            self.sink.take_end()
+        if self.sink is not None:
+            _deliver(event, self.sink)
             return
-        self.sink.take_broken()
+        self.held.append(event)
+        if len(self.held) > HELD_EVENTS:
+            self.pauseProducing()
 
     def lost(self) -> None:
         """Learns that the connection was lost."""
+        self._stop_timer()
         self._detach()
         self._tell_end(Ended.BROKEN)
-        if self.head is None:
+        if not self.told:
             self.begun.errback(BrokenError("connection lost"))
             return
         self.deliver(BrokenError("connection lost"))
 
-    def _finish(self) -> None:
+    def finish(self) -> None:
+        """Ends the exchange, as its answer has come whole."""
         self.resumeProducing()
         connection = self.connection
         reusable = self.body_sent and self.head.keep_alive
@@ -219,31 +263,110 @@
         self.cancel()
 
 
+@singledispatch
+def _receive(event, exchange: Exchange) -> None:
+    raise TypeError(f"not an event: {type(event).__name__}")
+
+
+@_receive.register
+def _(event: Continue, exchange: Exchange) -> None:
+    if exchange.waits:
+        exchange.waits = False
+        exchange.start_body()
+
+
+@_receive.register
+def _(event: ResponseHead, exchange: Exchange) -> None:
+    exchange.head = event
+
+
+@_receive.register
+def _(event: BodyPart, exchange: Exchange) -> None:
+    exchange.deliver(event)
+
+
+@_receive.register
+def _(event: BodyEnd, exchange: Exchange) -> None:
+    exchange.tell_head()
+    exchange.finish()
+    exchange.deliver(event)
+
+
+@singledispatch
+def _deliver(event, sink: AnswerSink) -> None:
+    raise TypeError(f"not an event: {type(event).__name__}")
+
+
+@_deliver.register
+def _(event: BodyPart, sink: AnswerSink) -> None:
+    sink.take_part(event.data)
+
+
+@_deliver.register
+def _(event: BodyEnd, sink: AnswerSink) -> None:
+    sink.take_producer(None)
+    sink.take_end()
+
+
+@_deliver.register
+def _(event: BrokenError, sink: AnswerSink) -> None:
+    sink.take_producer(None)
+    sink.take_broken()
+
+
+class _Nowhere:
+    """A sink for what is left of an answer whose body is at hand."""
+
+    def take_producer(self, producer) -> None:
+        """Takes nothing."""
+
+    def take_part(self, data: bytes) -> None:
+        """Drops a piece."""
+
+    def take_end(self) -> None:
+        """Drops the end."""
+
+    def take_broken(self) -> None:
+        """Drops the loss."""
+
+
+NOWHERE = _Nowhere()
+
+
 class Connection(Protocol):
     """A connection that carries one exchange at a time.
 
     Attributes:
         exchange: The exchange under way, or None.
         idle_until: Clock seconds after which it is closed when idle.
+        lost: Whether the connection is closed.
+        made: Deferred that takes the connection once it is open.
     """
 
-    def __init__(self, pool, address: str):
+    def __init__(self, pool, address: str, made: Deferred):
         self.pool = pool
         self.address = address
+        self.made = made
         self.decoder = ResponseDecoder()
         self.exchange: Exchange | None = None
         self.idle_until = 0.0
+        self.lost = False
         self.outlet: Outlet | None = None
 
     def connectionMade(self):  # noqa: N802
         """Sends small writes at once."""
         self.transport.setTcpNoDelay(True)
         self.outlet = Outlet(self.transport, self.pool.reactor)
+        if self.made.called:
+            self.transport.abortConnection()
+            return
+        self.made.callback(self)
 
     def start(
         self,
         head: RequestHead,
         body: RequestBody | None,
+        fields: tuple[Field, ...] = (),
         *,
         waits: bool = False,
     ) -> Exchange:
@@ -252,18 +375,22 @@
         Args:
             head: Head to send.
             body: Body to send after it.
+            fields: Fields that this hop adds to the head.
             waits: Whether to hold the body back until the other side says
                 that it is ready.
         """
-        exchange = Exchange(self, head, body, waits)
+        clock = self.pool.reactor
+        exchange = Exchange(self, head, body, waits, clock=clock)
         self.exchange = exchange
         self.decoder.bodiless = head.method == b"HEAD"
         if exchange.body_sent:
-            self.outlet.send(encode_request(head))
+            self.outlet.send(encode_request(head, fields))
             return exchange
-        self.outlet.write(encode_request(head))
+        self.outlet.cork()
+        self.outlet.write(encode_request(head, fields))
         if not waits:
             exchange.start_body()
+        self.outlet.uncork()
         return exchange
 
     def dataReceived(self, data):  # noqa: N802
@@ -281,9 +408,12 @@
             exchange.receive(event)
             if self.decoder.bodiless and isinstance(event, ResponseHead):
                 exchange.receive(BodyEnd())
+        if self.exchange is not None:
+            self.exchange.tell_head()
 
     def connectionLost(self, reason):  # noqa: N802
         """Ends the exchange under way."""
+        self.lost = True
         self.pool.forget(self)
         exchange, self.exchange = self.exchange, None
         if exchange is None:
@@ -304,6 +434,26 @@
         self.pool.give_back(self)
 
 
+class _Dial(ClientFactory):
+    """Opens one connection."""
+
+    noisy = False
+
+    def __init__(self, pool: "Pool", address: str):
+        self.pool = pool
+        self.address = address
+        self.made: Deferred = Deferred()
+
+    def buildProtocol(self, addr):  # noqa: N802
+        """Builds the connection."""
+        return Connection(self.pool, self.address, self.made)
+
+    def clientConnectionFailed(self, connector, reason):  # noqa: N802
+        """Learns that there will be none."""
+        if not self.made.called:
+            self.made.errback(reason)
+
+
 class Pool:
     """Keeps idle connections by address.
 
@@ -343,16 +493,17 @@
 
     async def _connect(self, address: str) -> Connection:
         host, _, port = address.rpartition(":")
-        endpoint = TCP4ClientEndpoint(
-            self.reactor, host, int(port), timeout=CONNECT_TIMEOUT_S
+        dial = _Dial(self, address)
+        connector = self.reactor.connectTCP(
+            host, int(port), dial, timeout=CONNECT_TIMEOUT_S
         )
-        factory = Factory.forProtocol(lambda: Connection(self, address))
-        factory.noisy = False
         try:
-            connection = await endpoint.connect(factory)
+            return await dial.made
+        except CancelledError:
+            connector.stopConnecting()
+            raise
         except Exception as error:
             raise ConnectError(address) from error
-        return connection
 
     def give_back(self, connection: Connection) -> None:
         """Takes an idle connection back."""
--- a/src/fulmarrudder/observe/logs.py
+++ b/src/fulmarrudder/observe/logs.py
@@ -74,12 +74,25 @@
             event: Name of the event.
             **fields: What belongs to it.
         """
+        if self.room(now):
+            self.write(event, **fields)
+
+    def room(self, now: float) -> bool:
+        """Tells whether an event may be written, and counts it if not.
+
+        Args:
+            now: Monotonic seconds.
+        """
         gained = (now - self.filled) * LINES_PER_S
         self.tokens = min(BURST_LINES, self.tokens + gained)
         self.filled = now
         if self.tokens < 1:
             self.dropped += 1
-            return
+            return False
+        return True
+
+    def write(self, event: str, **fields) -> None:
+        """Writes an event for which there is room."""
         self.tokens -= 1
         if self.dropped:
             info("lines-dropped", count=self.dropped)
--- a/tests/call/test_dialect.py
+++ b/tests/call/test_dialect.py
@@ -63,9 +63,10 @@
 
 def test_target_gets_the_time_left_and_its_own_id_whatever_was_sent():
     head = request((b"x-left", b"9999"), (b"x-expected", b"another"))
-    sent = for_target(head, DIALECT, left_ms=70, target="i-1")
-    assert sent.headers.fields == (
-        (b"x-id", b"1"),
+    kept = from_caller(head, DIALECT, "").headers
+    assert kept.get(b"x-left") is None
+    assert kept.get(b"x-expected") is None
+    assert for_target(DIALECT, left_ms=70, target="i-1") == (
         (b"x-left", b"70"),
         (b"x-expected", b"i-1"),
     )
--- a/tests/call/test_gather.py
+++ b/tests/call/test_gather.py
@@ -25,13 +25,14 @@
 
     def __init__(self, framing=Framing.CHUNKED):
         self.clock = Clock()
-        self.connection = FakeConnection()
+        self.connection = FakeConnection(self.clock)
         head = RequestHead(method=b"GET", target=b"/", headers=Headers())
         self.exchange = self.connection.start(head, None)
         answer = ResponseHead(
             status=200, reason=b"", headers=Headers(), framing=framing
         )
         self.exchange.receive(answer)
+        self.exchange.tell_head()
         live = LiveAnswer(answer, self.exchange)
         self.gathering = ensureDeferred(gather(live, self.clock, 1.0))
 
@@ -48,6 +49,28 @@
     assert answer.head.framing is Framing.LENGTH
 
 
+def test_answer_that_came_with_its_head_is_taken_at_once():
+    clock = Clock()
+    head = RequestHead(method=b"GET", target=b"/", headers=Headers())
+    exchange = FakeConnection(clock).start(head, None)
+    answer = ResponseHead(
+        status=200,
+        reason=b"",
+        headers=Headers(),
+        framing=Framing.LENGTH,
+        length=3,
+    )
+    exchange.receive(answer)
+    exchange.receive(BodyPart(b"abc"))
+    exchange.tell_head()
+    live = LiveAnswer(answer, exchange)
+    whole = result_of(ensureDeferred(gather(live, clock, 1.0)))
+    assert (whole.body, whole.head) == (b"abc", answer)
+    assert not clock.getDelayedCalls()
+    exchange.receive(BodyEnd())
+    exchange.cancel()
+
+
 def test_small_answer_that_is_cut_off_is_no_answer():
     scene = Scene()
     scene.exchange.receive(BodyPart(b"ab"))
--- a/tests/call/test_host.py
+++ b/tests/call/test_host.py
@@ -8,7 +8,7 @@
 
 from fulmarrudder.call.body import RequestBody
 from fulmarrudder.call.errors import ConnectError
-from fulmarrudder.call.host import Host, HostRequest
+from fulmarrudder.call.host import PROBE_S, Host, HostRequest
 from fulmarrudder.call.message import (
     BodyEnd,
     BodyPart,
@@ -53,13 +53,15 @@
 class FakeConnection:
     """A connection to a target that a test plays."""
 
-    def __init__(self):
+    def __init__(self, clock):
+        self.clock = clock
         self.transport = FakeTransport()
-        self.outlet = Outlet(self.transport, Clock())
+        self.outlet = Outlet(self.transport, clock)
         self.exchange = None
+        self.lost = False
 
-    def start(self, head, body, *, waits=False):
-        self.exchange = Exchange(self, head, body, waits)
+    def start(self, head, body, fields=(), *, waits=False):
+        self.exchange = Exchange(self, head, body, waits, clock=self.clock)
         self.exchange.start_body()
         return self.exchange
 
@@ -70,7 +72,8 @@
 class FakePool:
     """Hands out connections that a test plays."""
 
-    def __init__(self):
+    def __init__(self, clock):
+        self.clock = clock
         self.made = []
         self.refuse = False
         self.given_back = []
@@ -81,7 +84,7 @@
     async def take(self, address, *, fresh=False):
         if self.refuse:
             raise ConnectError(address)
-        self.made.append(FakeConnection())
+        self.made.append(FakeConnection(self.clock))
         return self.made[-1]
 
 
@@ -90,7 +93,7 @@
 
     def __init__(self):
         self.clock = Clock()
-        self.pool = FakePool()
+        self.pool = FakePool(self.clock)
         self.log = FakeLog()
         self.facts = FactStore()
         self.spread = []
@@ -266,6 +269,7 @@
 def test_target_that_closed_a_connection_stays(scene):
     scene.ask()
     scene.pool.made[-1].exchange.lost()
+    scene.run(PROBE_S + 0.01)
     assert scene.beside.condition is Condition.READY
     assert len(scene.pool.given_back) == 1
 
@@ -292,11 +296,24 @@
     """Played days with answers cut off: honest requests became suspects."""
     _, found = scene.ask()
     scene.pool.made[0].exchange.lost()
+    scene.run(PROBE_S + 0.01)
     assert refusal_in(found).ran.value == "unknown"
     assert not scene.spread
     assert scene.host.slots.taken == 0
 
 
+def test_target_that_accepts_a_connection_while_it_dies_leaves_a_strike(scene):
+    """Seen in CI beside load: a killed process accepted the probe."""
+    scene.ask()
+    scene.pool.made[0].exchange.lost()
+    scene.run(PROBE_S / 2)
+    scene.pool.made[1].lost = True
+    scene.run(PROBE_S)
+    assert [type(f) for f in scene.spread] == [Strike]
+    assert scene.beside.condition is Condition.ABSENT
+    assert not scene.pool.given_back
+
+
 def test_late_target_is_cancelled_and_told_as_unknown(scene):
     _, found = scene.ask(left=0.5)
     scene.run(0.6)
--- a/tests/call/test_screen.py
+++ b/tests/call/test_screen.py
@@ -8,7 +8,7 @@
     RequestHead,
     ResponseHead,
 )
-from fulmarrudder.call.screen import clean_response, screen, strip_own
+from fulmarrudder.call.screen import clean_response, screen
 
 
 def head(*fields, target=b"/x", modern=True):
@@ -65,7 +65,7 @@
 
 
 def test_caller_cannot_set_fields_of_nodes():
-    cleaned = strip_own(head(HOST, (b"fulmarrudder-route", b"x")))
+    cleaned = screen(head(HOST, (b"fulmarrudder-route", b"x")))
     assert cleaned.headers.fields == (HOST,)
 
 
@@ -75,5 +75,5 @@
         reason=b"",
         headers=Headers(((b"fulmarrudder-ran", b"no"), (b"x", b"1"))),
     )
-    cleaned = clean_response(response, from_target=True)
+    cleaned = clean_response(response)
     assert cleaned.headers.fields == ((b"x", b"1"),)
--- a/tests/call/test_sender.py
+++ b/tests/call/test_sender.py
@@ -35,7 +35,7 @@
 
     def __init__(self, elsewhere=True):
         self.clock = Clock()
-        self.pool = FakePool()
+        self.pool = FakePool(self.clock)
         self.sender = Sender(
             clock=self.clock,
             pool=self.pool,
--- a/tests/call/test_server.py
+++ b/tests/call/test_server.py
@@ -219,6 +219,7 @@
         )
     )
     exchange.receive(BodyPart(data))
+    exchange.tell_head()
     return exchange
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -30,7 +30,7 @@
 
     def __init__(self):
         self.clock = Clock()
-        self.pool = FakePool()
+        self.pool = FakePool(self.clock)
         self.store = Store(self.clock, self.pool, "10.0.0.1:80")
 
     def call(self, coroutine):
@@ -161,4 +161,4 @@
 
 
 def test_fake_connections_are_those_of_the_call_path():
-    assert FakeConnection().exchange is None
+    assert FakeConnection(Clock()).exchange is None
