Turned-away requests ask only where there may be room; cuts and shedding targets are noticed

What had not been told of late was taken for room, refusals lowered an endpoint's latency, and requests went from one full node to the next. Bytes of hops between data centres: 41 MB in 23 s; links between nodes 4 MB (ruled out). In a cut of a data centre (31.5 to 37.5 s) 60 of 100 requests failed: calls into it waited until their deadline, as patience was a fixed second.

Changed: room is known only for 0.5 s after it was told; a request that was turned away asks where it is not known to be full, then only where there is room; what a target sheds lowers trust in it; only answers count for latency. How long a request runs is told and weighed by its kind. Of endpoints that answer soon enough the target beside the node comes first, then its data centre. An endpoint that owes answers and tells nothing costs as much as it has been quiet, and a call is given up after 0.25 s or three times the usual, but only if the node told nothing since.

--- a/src/fulmarrudder/call/choose.py
+++ b/src/fulmarrudder/call/choose.py
@@ -6,7 +6,9 @@
 """
 
 import dataclasses
+import enum
 import math
+import operator
 import random
 
 from fulmarrudder.model import Condition, Presence
@@ -31,6 +33,10 @@
 # The target beside this node is reached without another node, which spares
 # both of them work: it may be this much slower.
 OWN_PART = 0.85
+# Part of that latency within which an answer is soon enough: a sooner one from
+# farther away is worth nothing more, and its bytes and its hop cost. The rest
+# is for what varies.
+SOON_PART = 0.5
 # Bytes of a body whose way to another data centre is worth another second.
 AWAY_BYTES_PER_S = 200_000
 # Part of requests failed that makes an endpoint look this much slower.
@@ -46,8 +52,15 @@
 ACQUAINT_IN = 8
 # Endpoints compared for a request; more would all pick the same one.
 COMPARED = 5
-PATIENCE_LEAST_S = 1.0
-PATIENCE_FACTOR = 20.0
+# Where an endpoint is, seen from a node: the target beside it, another one of
+# its data centre, or one of another.
+BESIDE, NEAR, AWAY = range(3)
+# An endpoint that tells nothing for this long, and for so many times what a
+# request takes there, is given up where the request may go elsewhere: a node
+# that is well answers many requests in that time, and those that it owes have
+# some of theirs left.
+PATIENCE_LEAST_S = 0.25
+PATIENCE_FACTOR = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -56,7 +69,7 @@
 
     Attributes:
         load: Requests that ran or waited there.
-        held_s: How long one of them takes, once it runs.
+        held_s: How long one of the kind asked for takes, once it runs.
     """
 
     load: int
@@ -79,14 +92,18 @@
         since: When it appeared or returned, in clock seconds.
         outstanding: Requests sent and not answered yet.
         latency_s: Moving average.
-        failing: Moving average of the part that failed.
+        failing: Moving average of the part that failed or was turned away.
         failures: Failures in a row.
         ejections: Ejections in a row.
         ejected_until: Clock seconds.
         others: Requests of other nodes there, when it last told.
-        held_s: How long a request runs there, as far as it has told.
+        held_s: How long a request runs there, as far as it has told; moving
+            average over all kinds.
+        held_by: The same, by kind of request, as last told.
         told_at: Clock seconds at which it last told.
-        failed_at: Clock seconds of the latest failure.
+        owes_since: Clock seconds since which it has owed an answer and told
+            nothing.
+        failed_at: Clock seconds of the latest of these.
     """
 
     since: float
@@ -98,9 +115,15 @@
     ejected_until: float = 0.0
     others: int = 0
     held_s: float = FIRST_HELD_S
+    held_by: dict[str, float] = dataclasses.field(default_factory=dict)
     told_at: float = 0.0
+    owes_since: float = 0.0
     failed_at: float = 0.0
 
+    def quiet_s(self, now: float) -> float:
+        """Returns for how long it has owed answers and told nothing."""
+        return now - self.owes_since if self.outstanding else 0.0
+
     def occupancy(self, now: float) -> float:
         """Returns how many requests are likely to run or wait there."""
         age = now - self.told_at
@@ -108,6 +131,34 @@
         return others + self.outstanding
 
 
+class Room(enum.Enum):
+    """What is known of an endpoint's slots."""
+
+    FREE = "free"
+    FULL = "full"
+    UNKNOWN = "unknown"
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _Weighed:
+    """An endpoint as a choice weighs it.
+
+    Attributes:
+        distance: `BESIDE`, `NEAR` or `AWAY`.
+        free: Whether a slot is likely to be free there.
+        cost_s: Seconds until an answer is likely, weighed.
+    """
+
+    presence: Presence
+    distance: int
+    free: bool
+    cost_s: float
+
+    def within(self, limit_s: float) -> bool:
+        """Tells whether an answer is likely in a time, without a queue."""
+        return self.free and self.cost_s <= limit_s
+
+
 class Chooser:
     """Chooses endpoints for an entry node.
 
@@ -130,6 +181,7 @@
         now: float,
         excluded: frozenset[str] = frozenset(),
         *,
+        kind: str = "",
         body_bytes: int = 0,
         aim_s: float = 0.0,
     ) -> Presence | None:
@@ -140,6 +192,7 @@
             version: Target version wanted, or None for any.
             now: Clock seconds.
             excluded: Node ids already tried.
+            kind: What sort of request it is; those of a sort take as long.
             body_bytes: Size of the request's body.
             aim_s: Latency that the caller hopes for, or 0.
 
@@ -154,9 +207,16 @@
         if some and self.rng.randrange(ACQUAINT_IN) == 0:
             return self.rng.choice(unknown)
         away_s = AWAY_S + body_bytes / AWAY_BYTES_PER_S + AWAY_PART * aim_s
-        compared = self._some_of(usable)
-        costs = [self._cost(presence, now, away_s) for presence in compared]
-        return compared[costs.index(min(costs))]
+        weighed = [
+            self._weigh(presence, now, kind, away_s)
+            for presence in self._some_of(usable)
+        ]
+        soon_s = SOON_PART * aim_s
+        soon = [w for w in weighed if w.distance < AWAY and w.within(soon_s)]
+        if soon:
+            nearest = min(w.distance for w in soon)
+            weighed = [w for w in soon if w.distance == nearest]
+        return min(weighed, key=operator.attrgetter("cost_s")).presence
 
     def _some_of(self, usable: list[Presence]) -> list[Presence]:
         """Picks the endpoints to compare, near ones among them."""
@@ -192,28 +252,50 @@
             seen = self.observed[key] = Observed(now)
         return seen
 
-    def _cost(self, presence: Presence, now: float, away_s: float) -> float:
-        """Returns the seconds until an answer is likely, weighed."""
+    def _distance(self, presence: Presence) -> int:
+        if presence.node == self.node:
+            return BESIDE
+        return NEAR if presence.data_centre == self.data_centre else AWAY
+
+    def _weigh(
+        self, presence: Presence, now: float, kind: str, away_s: float
+    ) -> _Weighed:
+        """Estimates the seconds until an answer, weighed by trust."""
+        distance = self._distance(presence)
         seen = self._seen(presence, now)
         slots = max(1, presence.slots)
-        runs_s = max(seen.held_s, seen.latency_s)
+        held_s = max(seen.held_s, seen.latency_s)
+        runs_s = max(seen.held_by.get(kind, seen.held_s), seen.latency_s)
         short = max(0.0, seen.occupancy(now) + 1 - slots)
-        answer_s = runs_s * (1 + short / slots)
-        if presence.node == self.node:
+        answer_s = runs_s + held_s * short / slots
+        # Who is cut off or frozen tells nothing; that is noticed long before
+        # the requests that were sent there have had their time.
+        answer_s = max(answer_s, seen.quiet_s(now))
+        if distance == BESIDE:
             answer_s *= OWN_PART
-        if presence.data_centre != self.data_centre:
+        elif distance == AWAY:
             answer_s += away_s
         warmth = min(1.0, max(RAMP_FLOOR, (now - seen.since) / RAMP_S))
         age = now - seen.failed_at
         failing = seen.failing * math.exp(-age / FAILING_FADES_S)
         trust = warmth / (1 + FAILING_FACTOR * failing**2)
-        return answer_s / trust * self.rng.uniform(1 - JITTER, 1 + JITTER)
+        return _Weighed(
+            presence=presence,
+            distance=distance,
+            free=short == 0,
+            cost_s=answer_s / trust * self.rng.uniform(1 - JITTER, 1 + JITTER),
+        )
 
     def shortest_wait(
-        self, present: tuple[Presence, ...], now: float
+        self, present: tuple[Presence, ...], now: float, kind: str = ""
     ) -> Wait | None:
         """Returns the shortest wait for a slot among endpoints.
 
+        Args:
+            present: The endpoints.
+            now: Clock seconds.
+            kind: What sort of request would wait.
+
         Returns:
             The wait, or None unless all endpoints have told of late.
         """
@@ -226,60 +308,77 @@
                 return None
             slots = max(1, presence.slots)
             short = max(0.0, seen.occupancy(now) + 1 - slots)
-            wait = Wait(wait_s=short * seen.held_s / slots, held_s=seen.held_s)
+            held_s = seen.held_by.get(kind, seen.held_s)
+            wait = Wait(wait_s=short * seen.held_s / slots, held_s=held_s)
             if shortest is None or wait.wait_s < shortest.wait_s:
                 shortest = wait
         return shortest
 
-    def has_room(self, presence: Presence, now: float) -> bool:
-        """Tells whether an endpoint is likely to have a slot free."""
-        occupancy = self._seen(presence, now).occupancy(now)
-        return occupancy < max(1, presence.slots)
+    def room(self, presence: Presence, now: float) -> Room:
+        """Tells whether an endpoint has a slot free, as far as is known."""
+        seen = self._seen(presence, now)
+        if now - seen.told_at > LOAD_FADES_S:
+            return Room.UNKNOWN
+        occupied = seen.others + seen.outstanding
+        return Room.FREE if occupied < max(1, presence.slots) else Room.FULL
 
-    def told(self, presence: Presence, now: float, told: Told) -> None:
+    def told(
+        self, presence: Presence, now: float, told: Told, kind: str = ""
+    ) -> None:
         """Notes what the node beside a target told of it.
 
         Args:
             presence: The endpoint.
             now: Clock seconds.
             told: What it told; requests of this node are counted in.
+            kind: What sort of request it told this with.
         """
         seen = self._seen(presence, now)
         seen.others = max(0, told.load - seen.outstanding)
-        seen.held_s = told.held_s
-        seen.told_at = now
+        seen.held_by[kind] = told.held_s
+        weight = EWMA_WEIGHT if seen.told_at else 1.0
+        seen.held_s += weight * (told.held_s - seen.held_s)
+        seen.told_at = seen.owes_since = now
 
     def sent(self, presence: Presence, now: float) -> None:
         """Notes that a request was sent."""
-        self._seen(presence, now).outstanding += 1
+        seen = self._seen(presence, now)
+        if not seen.outstanding:
+            seen.owes_since = now
+        seen.outstanding += 1
 
     def finished(
         self,
         presence: Presence,
         now: float,
-        took_s: float,
+        took_s: float | None,
         *,
         failed: bool,
         gone: bool = False,
+        shed: bool = False,
     ) -> None:
         """Notes that a request has ended.
 
         Args:
             presence: The endpoint.
             now: Clock seconds.
-            took_s: Time that it took.
+            took_s: Time until its answer, or None when it was not answered.
             failed: Whether the endpoint failed it.
             gone: Whether nothing listens there, which is conclusive.
+            shed: Whether its target turned the request away.
         """
         seen = self._seen(presence, now)
         seen.outstanding = max(0, seen.outstanding - 1)
-        seen.failing += FAILING_WEIGHT * (failed - seen.failing)
+        poor = failed or shed
+        seen.failing += FAILING_WEIGHT * (poor - seen.failing)
+        if poor:
+            seen.failed_at = now
         if not failed:
             seen.failures = 0
             seen.ejections = 0
-            seen.latency_s += EWMA_WEIGHT * (took_s - seen.latency_s)
+            if took_s is not None:
+                seen.latency_s += EWMA_WEIGHT * (took_s - seen.latency_s)
             return
-        seen.failed_at = now
         seen.failures = EJECT_AFTER if gone else seen.failures + 1
         if seen.failures < EJECT_AFTER:
             return
@@ -289,11 +388,26 @@
         seen.ejections = min(seen.ejections + 1, 16)
         seen.failures = EJECT_AFTER - 1
 
-    def patience(self, presence: Presence) -> float:
-        """Returns after how many seconds an answer is late for an endpoint."""
-        seen = self.observed.get((presence.node, presence.incarnation))
-        latency = FIRST_LATENCY_S if seen is None else seen.latency_s
-        return max(PATIENCE_LEAST_S, PATIENCE_FACTOR * latency)
+    def patience(self, presence: Presence, now: float, kind: str = "") -> float:
+        """Returns after how many seconds an answer is late for an endpoint.
+
+        Args:
+            presence: The endpoint.
+            now: Clock seconds.
+            kind: What sort of request it owes an answer to.
+        """
+        seen = self._seen(presence, now)
+        usual_s = max(seen.held_by.get(kind, seen.held_s), seen.latency_s)
+        return max(PATIENCE_LEAST_S, PATIENCE_FACTOR * usual_s)
+
+    def silent_since(self, presence: Presence, sent: float) -> bool:
+        """Tells whether an endpoint has told nothing since a moment.
+
+        Args:
+            presence: The endpoint.
+            sent: Clock seconds.
+        """
+        return self._seen(presence, sent).told_at < sent
 
     def forget(self, known: frozenset[tuple[str, int]]) -> None:
         """Forgets endpoints that are no longer known."""
--- a/src/fulmarrudder/call/codec.py
+++ b/src/fulmarrudder/call/codec.py
@@ -46,13 +46,22 @@
 
 
 class _Decoder:
-    """What decoding requests and responses share."""
+    """What decoding requests and responses share.
 
-    __slots__ = ("events", "fields", "header_bytes", "in_head")
+    Attributes:
+        events: What has been decoded and not taken.
+        fields: Header fields of the head that is read.
+        head_bytes: Bytes that came since it began.
+        header_bytes: Bytes of fields after a body.
+        in_head: Whether a head is read, or due.
+    """
+
+    __slots__ = ("events", "fields", "head_bytes", "header_bytes", "in_head")
 
     def __init__(self):
         self.events: list[Event] = []
         self.fields: list[tuple[bytes, bytes]] = []
+        self.head_bytes = 0
         self.header_bytes = 0
         self.in_head = True
 
@@ -62,14 +71,37 @@
         self.in_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self.in_head:
+            self.fields.append((name.lower(), value))
+            return
+        # Fields after a body are bounded as well, though nobody reads them.
         self.header_bytes += len(name) + len(value) + 4
         if self.header_bytes > HEADER_BYTES_LIMIT:
             raise ProtocolError("header fields too large", status=431)
-        if not self.in_head:
-            return
-        self.fields.append((name.lower(), value))
-        if len(self.fields) > HEADER_COUNT_LIMIT:
+
+    def end_head(self) -> Headers:
+        """Returns the head's fields, if they are within the limits."""
+        fields, head_bytes = tuple(self.fields), self.head_bytes
+        self.in_head = False
+        self.head_bytes = 0
+        if len(fields) > HEADER_COUNT_LIMIT:
             raise ProtocolError("too many header fields", status=431)
+        if head_bytes > HEADER_BYTES_LIMIT:
+            # What came at once may hold more than the head.
+            size = sum(len(name) + len(value) + 4 for name, value in fields)
+            if size > HEADER_BYTES_LIMIT:
+                raise ProtocolError("header fields too large", status=431)
+        return Headers(fields)
+
+    def begin_read(self, data: bytes) -> None:
+        """Counts what comes towards a head that has not ended."""
+        if self.in_head:
+            self.head_bytes += len(data)
+
+    def end_read(self) -> None:
+        """Bounds a head that has not ended."""
+        if self.in_head and self.head_bytes > HEADER_BYTES_LIMIT:
+            raise ProtocolError("head too large", status=431)
 
     def on_body(self, data: bytes) -> None:
         self.events.append(BodyPart(data))
@@ -82,13 +114,12 @@
 class RequestDecoder(_Decoder):
     """Decodes requests from a caller's bytes."""
 
-    __slots__ = ("head_bytes", "parser", "url")
+    __slots__ = ("parser", "url")
 
     def __init__(self):
         super().__init__()
         self.parser = httptools.HttpRequestParser(self)
         self.url = b""
-        self.head_bytes = 0
 
     def feed(self, data: bytes) -> list[Event]:
         """Decodes a piece of the byte stream.
@@ -102,8 +133,7 @@
         Raises:
             ProtocolError: The bytes are not strict HTTP/1.1.
         """
-        if self.in_head:
-            self.head_bytes += len(data)
+        self.begin_read(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -114,8 +144,7 @@
             if isinstance(cause, ProtocolError):
                 raise cause from None
             raise ProtocolError(str(error)) from None
-        if self.in_head and self.head_bytes > HEADER_BYTES_LIMIT:
-            raise ProtocolError("request head too large", status=431)
+        self.end_read()
         return self.take()
 
     def _forget_last(self) -> None:
@@ -129,7 +158,7 @@
 
     def on_headers_complete(self) -> None:
         """Closes the head."""
-        headers = Headers(tuple(self.fields))
+        headers = self.end_head()
         framing, length = _request_framing(headers)
         self.events.append(
             RequestHead(
@@ -142,9 +171,7 @@
                 modern=self.parser.get_http_version() == "1.1",
             )
         )
-        self.in_head = False
         self.url = b""
-        self.head_bytes = 0
 
     def on_message_complete(self) -> None:
         """Closes the message."""
@@ -171,12 +198,14 @@
 
     def feed(self, data: bytes) -> list[Event]:
         """Decodes a piece of the byte stream; see `RequestDecoder.feed`."""
+        self.begin_read(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
             raise ProtocolError("upgrade refused", status=502) from None
         except httptools.HttpParserError as error:
             raise ProtocolError(str(error), status=502) from None
+        self.end_read()
         return self.take()
 
     def on_status(self, reason: bytes) -> None:
@@ -186,7 +215,7 @@
     def on_headers_complete(self) -> None:
         """Closes the head."""
         status = self.parser.get_status_code()
-        self.in_head = False
+        headers = self.end_head()
         reason, self.reason = self.reason, b""
         if status == 100:
             self.skipping = True
@@ -195,7 +224,6 @@
         if status < 200:
             self.skipping = True
             return
-        headers = Headers(tuple(self.fields))
         framing, length = self._framing(headers, status)
         self.closing = framing is Framing.CLOSE
         self.events.append(
--- a/src/fulmarrudder/call/ending.py
+++ b/src/fulmarrudder/call/ending.py
@@ -9,6 +9,7 @@
 FAILED_FROM = 500
 PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
 NOTHING_THERE = frozenset({RefusalReason.UNREACHABLE, RefusalReason.NO_TARGET})
+CROWDED = frozenset({RefusalReason.BUSY, RefusalReason.OVERLOADED})
 ENDPOINTS_FAULT = NOTHING_THERE | {
     RefusalReason.BROKEN,
     RefusalReason.WRONG_TARGET,
@@ -51,6 +52,20 @@
     return ending.refusal.reason in NOTHING_THERE
 
 
+def shed(ending: Ending) -> bool:
+    """Tells whether a target turned the request away."""
+    if not isinstance(ending, Declined):
+        return False
+    return ending.refusal.reason is RefusalReason.SHED
+
+
+def crowded(ending: Ending) -> bool:
+    """Tells whether a node turned the request away for want of room."""
+    if not isinstance(ending, Declined):
+        return False
+    return ending.refusal.reason in CROWDED
+
+
 def may_have_run(ending: Ending) -> bool:
     """Tells whether an attempt may have run its request."""
     if not isinstance(ending, Declined):
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -8,7 +8,7 @@
 
 from fulmarrudder.call.answer import Answer, refused
 from fulmarrudder.call.body import RequestBody
-from fulmarrudder.call.choose import Chooser, Told
+from fulmarrudder.call.choose import Chooser, Room, Told
 from fulmarrudder.call.dialect import OWN, Dialect
 from fulmarrudder.call.ending import (
     Answered,
@@ -18,9 +18,11 @@
     Late,
     arrived,
     counts_as_failure,
+    crowded,
     may_have_run,
     nothing_there,
     refusal_for,
+    shed,
     truthful,
 )
 from fulmarrudder.call.errors import CallError, ConnectError
@@ -33,10 +35,12 @@
     BUDGET_LIMIT,
     BUDGET_RATIO,
     MOST_ATTEMPTS,
+    MOST_OFFERS,
     Attempt,
     Next,
     RetryBudget,
     next_after,
+    worth_asking,
 )
 from fulmarrudder.call.route import Routed, RouteTable
 from fulmarrudder.call.screen import screen
@@ -59,8 +63,6 @@
 # Part of the latency that callers hope for that an answer may take without the
 # request going elsewhere.
 COMFORT_PART = 0.5
-# Targets that may turn a request away because another may have room.
-MOST_OFFERS = 2
 UNREACHABLE = not_run(
     RefusalReason.UNREACHABLE,
     "node beside the target could not be reached",
@@ -186,12 +188,12 @@
         if suspect is not None:
             return refused(suspect)
         self.budget_of(call.service).deposit()
-        crowded = self._crowded(call)
-        if crowded is not None:
-            return refused(crowded)
+        hopeless = self._all_full(call)
+        if hopeless is not None:
+            return refused(hopeless)
         return await self._attempts(call)
 
-    def _crowded(self, call: Call) -> Refusal | None:
+    def _all_full(self, call: Call) -> Refusal | None:
         """Refuses a request that every target would turn away, as all told.
 
         Only the least urgent requests of a service are judged here: for the
@@ -202,7 +204,7 @@
             return None
         now = self.clock.seconds()
         present = self.facts.endpoints_of(call.service)
-        found = self.chooser.shortest_wait(present, now)
+        found = self.chooser.shortest_wait(present, now, call.route.name)
         if found is None:
             return None
         if not likely_late(now, found.wait_s, found.held_s, call.prompt):
@@ -256,6 +258,7 @@
             tried = await self._attempt(call, presence)
             call.may_have_run |= may_have_run(tried.ending)
             call.arrivals += arrived(tried.ending)
+            call.crowded += crowded(tried.ending)
             after = self._decide(call, tried)
             self.metrics.count(
                 "fulmarrudder_attempts_total",
@@ -311,12 +314,18 @@
         present = self.facts.endpoints_of(call.service)
         now = self.clock.seconds()
         for wanted in versions:
-            fit = tuple(p for p in present if wanted.admit(p.target_version))
+            fit = tuple(
+                p
+                for p in present
+                if wanted.admit(p.target_version)
+                and worth_asking(self.chooser.room(p, now), call.crowded)
+            )
             chosen = self.chooser.choose(
                 fit,
                 None,
                 now,
                 call.tried,
+                kind=call.route.name,
                 body_bytes=call.head.length,
                 aim_s=call.route.aim_ms / 1000,
             )
@@ -327,7 +336,7 @@
     async def _attempt(self, call: Call, presence: Presence) -> _Tried:
         started = self.clock.seconds()
         self.chooser.sent(presence, started)
-        failed, gone = True, False
+        failed, tried = True, None
         comfort = self._comfort(call)
         try:
             if presence.node == self.node:
@@ -335,9 +344,7 @@
             else:
                 tried = await self._ask_other(call, presence, comfort)
             failed = counts_as_failure(tried.ending)
-            gone = nothing_there(tried.ending)
         except ConnectError:
-            gone = True
             tried = _Tried(ending=Declined(refusal=UNREACHABLE))
         except TimeoutError:
             tried = _Tried(ending=Late())
@@ -347,17 +354,24 @@
             failed = False
             raise
         finally:
+            ending = None if tried is None else tried.ending
             now = self.clock.seconds()
             self.chooser.finished(
-                presence, now, now - started, failed=failed, gone=gone
+                presence,
+                now,
+                now - started if isinstance(ending, Answered) else None,
+                failed=failed,
+                gone=nothing_there(ending),
+                shed=shed(ending),
             )
         return tried
 
     async def _ask_own(self, call, presence, comfort: float) -> _Tried:
         request = call.request_to(presence, comfort=comfort)
         answer = await self.host.open(request, call.body, call.ready)
-        told = Told(load=self.host.load, held_s=self.host.slots.held_s)
-        self.chooser.told(presence, self.clock.seconds(), told)
+        kind = call.route.name
+        told = Told(load=self.host.load, held_s=self.host.slots.usual(kind))
+        self.chooser.told(presence, self.clock.seconds(), told, kind)
         if answer.refusal is not None:
             return _Tried(ending=Declined(refusal=answer.refusal))
         return await self._answered(call, answer)
@@ -365,7 +379,9 @@
     async def _ask_other(self, call, presence, comfort: float) -> _Tried:
         reply = await self.sender.send(call, presence, comfort=comfort)
         if reply.told is not None:
-            self.chooser.told(presence, self.clock.seconds(), reply.told)
+            self.chooser.told(
+                presence, self.clock.seconds(), reply.told, call.route.name
+            )
         if reply.refusal is not None:
             return _Tried(ending=Declined(refusal=reply.refusal))
         return await self._answered(call, reply.answer)
@@ -390,7 +406,7 @@
                 continue
             if presence.node in call.tried:
                 continue
-            if self.chooser.has_room(presence, now):
+            if self.chooser.room(presence, now) is Room.FREE:
                 return call.arrived + COMFORT_PART * call.route.aim_ms / 1000
         return 0.0
 
--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -152,7 +152,7 @@
 
     Args:
         load: Requests that run or wait there.
-        held_s: Seconds for which one of them holds its slot.
+        held_s: Seconds for which one of the kind asked for holds its slot.
     """
     return (LOAD_HEADER, b"%d/%d" % (load, max(1, held_s * 1000)))
 
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -16,7 +16,6 @@
 
 from fulmarrudder.call.answer import Answer, WholeAnswer, refused
 from fulmarrudder.call.body import RequestBody
-from fulmarrudder.call.choose import PATIENCE_LEAST_S
 from fulmarrudder.call.claims import (
     Claims,
     Mine,
@@ -52,6 +51,8 @@
 from fulmarrudder.model import Condition, Strike
 from fulmarrudder.observe import logs
 
+# A request that is given up after less says nothing of its target's pace.
+GIVEN_UP_S = 1.0
 # For so long a target that closed a connection must keep a new one open to
 # count as alive: a kernel takes some milliseconds to clear a process away.
 PROBE_S = 0.1
@@ -294,7 +295,7 @@
             return _declined(late("target gave no answer in time"))
         except CancelledError:
             # Whoever waited gave up: it took this long at the least.
-            if self.clock.seconds() - started >= PATIENCE_LEAST_S:
+            if self.clock.seconds() - started >= GIVEN_UP_S:
                 self._tally(request, started, failed=False)
             raise
         except BrokenError as error:
--- a/src/fulmarrudder/call/plan.py
+++ b/src/fulmarrudder/call/plan.py
@@ -39,6 +39,7 @@
         service: Service that the call goes to.
         prompt: Clock seconds until which its answer is worth most, or 0.
         arrivals: Attempts that may have reached a target.
+        crowded: Attempts that nodes turned away for want of room.
         id: The caller's id of the request, or empty.
         rank: Urgency among requests; 0 is the most urgent.
         arrived: Clock seconds at which its head came.
@@ -59,6 +60,7 @@
     service: str = ""
     prompt: float = 0.0
     arrivals: int = 0
+    crowded: int = 0
     id: str = ""
     rank: int = 0
     arrived: float = 0.0
--- a/src/fulmarrudder/call/retry.py
+++ b/src/fulmarrudder/call/retry.py
@@ -4,6 +4,7 @@
 import enum
 from functools import singledispatch
 
+from fulmarrudder.call.choose import Room
 from fulmarrudder.call.ending import (
     Answered,
     Broken,
@@ -15,6 +16,9 @@
 
 # Attempts, with those that nodes turned away before a target saw them.
 MOST_ATTEMPTS = 5
+# Nodes that may turn a request away because another may have room. After as
+# many, only those that are known to have room are asked.
+MOST_OFFERS = 2
 BUDGET_RATIO = 0.1
 BUDGET_LIMIT = 20.0
 RETRIED_STATUS = frozenset({502, 503, 504})
@@ -78,6 +82,22 @@
         return True
 
 
+def worth_asking(room: Room, crowded: int) -> bool:
+    """Tells whether a request may find room where a node has not refused it.
+
+    Each question costs two nodes work, just when all are short of it.
+
+    Args:
+        room: What is known of the endpoint's slots.
+        crowded: Nodes that have turned the request away for want of room.
+    """
+    if not crowded:
+        return True
+    if crowded < MOST_OFFERS:
+        return room is not Room.FULL
+    return room is Room.FREE
+
+
 @singledispatch
 def next_after(ending: Ending, attempt: Attempt) -> Next:
     """Decides what follows an attempt.
--- a/src/fulmarrudder/call/sender.py
+++ b/src/fulmarrudder/call/sender.py
@@ -40,7 +40,8 @@
 
     A node that is frozen, or cut off without its connections being closed,
     would hold a call until its deadline. What may be repeated is given up
-    when its answer is late or its node is lost, if it may go elsewhere.
+    when its node has been silent for too long or is lost, if it may go
+    elsewhere.
 
     Attributes:
         waiting: Exchanges that may be repeated and have no answer yet, with
@@ -113,11 +114,12 @@
     async def _with_patience(
         self, exchange: Exchange, call: Call, presence: Presence
     ) -> ResponseHead:
-        patience_s = self.chooser.patience(presence)
+        now = self.clock.seconds()
+        patience_s = self.chooser.patience(presence, now, call.route.name)
         late = None
-        if self.clock.seconds() + patience_s < call.deadline:
+        if now + patience_s < call.deadline:
             late = self.clock.callLater(
-                patience_s, self._give_up, exchange, call
+                patience_s, self._if_silent, exchange, call, presence, now
             )
         self.waiting[presence.node][exchange] = call
         try:
@@ -127,6 +129,13 @@
             if late is not None and late.active():
                 late.cancel()
 
+    def _if_silent(
+        self, exchange: Exchange, call: Call, presence: Presence, sent: float
+    ) -> None:
+        """Gives up on a node that has told nothing since a call was sent."""
+        if self.chooser.silent_since(presence, sent):
+            self._give_up(exchange, call)
+
     def _give_up(self, exchange: Exchange, call: Call) -> None:
         if self.may_go_elsewhere(call):
             exchange.abandon()
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -68,6 +68,7 @@
         self.started = self.factory.clock.seconds()
         self.span = None
         self.role = "entry"
+        self.kind = ""
 
     def start(self) -> None:
         """Opens the call."""
@@ -118,6 +119,7 @@
         host_call = flow(self.head, steps, Refusal)
         if isinstance(host_call, Refusal):
             return refused(host_call, to_node=True)
+        self.kind = host_call.route
         return await self.factory.host.open(host_call, self.body, self.ready)
 
     def ready(self) -> None:
@@ -163,7 +165,7 @@
     def _told(self, answer: Answer) -> tuple[Field, ...]:
         if self.role == "host":
             host = self.factory.host
-            return (load_field(host.load, host.slots.held_s),)
+            return (load_field(host.load, host.slots.usual(self.kind)),)
         if answer.refusal is not None:
             return id_fields(self.head, self.factory.entry.dialect)
         return ()
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -118,6 +118,10 @@
             return 0.0
         return short * self.held_s / max(1, self.capacity)
 
+    def usual(self, kind: str) -> float:
+        """Returns the seconds for which a kind of request holds its slot."""
+        return self.held_by.get(kind, self.held_s)
+
     def retry_after(self) -> float:
         """Returns after how many seconds there is likely to be room."""
         short = self.taken + self.queued + 1 - self.capacity
@@ -159,7 +163,7 @@
         if self.queued >= self.capacity * QUEUE_PER_SLOT:
             return "queue is full"
         wait = self.expected_wait(ask.rank)
-        held = self.held_by.get(ask.kind, self.held_s)
+        held = self.usual(ask.kind)
         crowded = wait > ELSEWHERE_WAIT * self.held_s
         if ask.comfort and crowded and now + wait + held > ask.comfort:
             return "another target may have room"
@@ -172,7 +176,7 @@
         return ""
 
     def _queue(self, ask: Ask) -> Deferred:
-        held = self.held_by.get(ask.kind, self.held_s)
+        held = self.usual(ask.kind)
         useful = ask.deadline - LEAST_TIME * held - self.clock.seconds()
         left = max(0.0, min(QUEUE_LIMIT_S, useful))
         waiter = _Waiter(Deferred(lambda _: self._abandon(waiter)), ask)
@@ -216,7 +220,7 @@
     def _overdue(self, ask: Ask) -> bool:
         if not ask.prompt:
             return False
-        held = self.held_by.get(ask.kind, self.held_s)
+        held = self.usual(ask.kind)
         if held < SHORT_PART * self.held_s:
             return False
         return self.clock.seconds() + held > ask.prompt
--- a/tests/call/test_retry.py
+++ b/tests/call/test_retry.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from fulmarrudder.call.choose import Room
 from fulmarrudder.call.ending import Answered, Broken, Declined, Late
 from fulmarrudder.call.message import Ran, Refusal, RefusalReason
 from fulmarrudder.call.retry import (
@@ -11,6 +12,7 @@
     Next,
     RetryBudget,
     next_after,
+    worth_asking,
 )
 
 
@@ -62,3 +64,20 @@
     while budget.withdraw():
         retried += 1
     assert 9 <= retried <= 10
+
+
+@pytest.mark.parametrize(
+    ("room", "crowded", "asked"),
+    [
+        (Room.FULL, 0, True),
+        (Room.FULL, 1, False),
+        (Room.UNKNOWN, 1, True),
+        (Room.UNKNOWN, 2, False),
+        (Room.FREE, 4, True),
+    ],
+)
+def test_request_that_was_turned_away_asks_where_there_may_be_room(
+    room, crowded, asked
+):
+    """Played pozarnik-mesh scale-1: requests went from one full node to five."""
+    assert worth_asking(room, crowded) is asked
