Choice: near answers soon enough by their own kind's time; exchange and observed apart

An endpoint's latency was one average over all kinds, so that a call of 20 ms looked like one of 70; in the first seconds after a start nothing near counted as soon; and uploads of 60 KB went to far targets just to learn of them. Ruled out: links between nodes (0.4 of 20 MB).

Changed: latencies by kind of request; whether an answer comes soon enough is judged without the ramp of new endpoints and without jitter, once they have told; large bodies are not used to learn. upstream.py and choose.py each held two jobs: exchange.py and observed.py are apart now.

--- a/src/fulmarrudder/call/choose.py
+++ b/src/fulmarrudder/call/choose.py
@@ -6,22 +6,25 @@
 """
 
 import dataclasses
-import enum
 import math
 import operator
 import random
 
+from fulmarrudder.call.observed import (
+    EWMA_WEIGHT,
+    LOAD_FADES_S,
+    Observed,
+    Room,
+    Told,
+    Wait,
+)
 from fulmarrudder.model import Condition, Presence
 
-EWMA_WEIGHT = 0.2
-FIRST_LATENCY_S = 0.005
 EJECT_AFTER = 3
 EJECT_BASE_S = 1.0
 EJECT_LIMIT_S = 30.0
 RAMP_S = 5.0
 RAMP_FLOOR = 0.1
-# What an endpoint told of its load says nothing any more after this long.
-LOAD_FADES_S = 0.5
 # What was told within this time is as good as asking again.
 FRESH_S = 0.1
 # How much sooner an answer must be expected from another data centre than
@@ -36,7 +39,7 @@
 # Part of that latency within which an answer is soon enough: a sooner one from
 # farther away is worth nothing more, and its bytes and its hop cost. The rest
 # is for what varies.
-SOON_PART = 0.5
+SOON_PART = 0.6
 # Bytes of a body whose way to another data centre is worth another second.
 AWAY_BYTES_PER_S = 200_000
 # Part of requests failed that makes an endpoint look this much slower.
@@ -45,11 +48,11 @@
 FAILING_FADES_S = 3.0
 # Nodes that know the same should not all choose the same endpoint.
 JITTER = 0.08
-# How long a request is taken to run where nothing has been told.
-FIRST_HELD_S = 0.1
 # One choice in so many goes to an endpoint that has told nothing yet: what is
 # never asked is never known.
 ACQUAINT_IN = 8
+# Larger bodies are not sent anywhere just to learn.
+ACQUAINT_BYTES = 8_192
 # Endpoints compared for a request; more would all pick the same one.
 COMPARED = 5
 # Where an endpoint is, seen from a node: the target beside it, another one of
@@ -63,100 +66,21 @@
 PATIENCE_FACTOR = 3.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Told:
-    """What the node beside a target told of it.
-
-    Attributes:
-        load: Requests that ran or waited there.
-        held_s: How long one of the kind asked for takes, once it runs.
-    """
-
-    load: int
-    held_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Wait:
-    """How long a request is likely to wait for a slot, and then to hold it."""
-
-    wait_s: float
-    held_s: float
-
-
-@dataclasses.dataclass(slots=True)
-class Observed:
-    """What this node has seen of one endpoint.
-
-    Attributes:
-        since: When it appeared or returned, in clock seconds.
-        outstanding: Requests sent and not answered yet.
-        latency_s: Moving average.
-        failing: Moving average of the part that failed or was turned away.
-        failures: Failures in a row.
-        ejections: Ejections in a row.
-        ejected_until: Clock seconds.
-        others: Requests of other nodes there, when it last told.
-        held_s: How long a request runs there, as far as it has told; moving
-            average over all kinds.
-        held_by: The same, by kind of request, as last told.
-        told_at: Clock seconds at which it last told.
-        owes_since: Clock seconds since which it has owed an answer and told
-            nothing.
-        failed_at: Clock seconds of the latest of these.
-    """
-
-    since: float
-    outstanding: int = 0
-    latency_s: float = FIRST_LATENCY_S
-    failing: float = 0.0
-    failures: int = 0
-    ejections: int = 0
-    ejected_until: float = 0.0
-    others: int = 0
-    held_s: float = FIRST_HELD_S
-    held_by: dict[str, float] = dataclasses.field(default_factory=dict)
-    told_at: float = 0.0
-    owes_since: float = 0.0
-    failed_at: float = 0.0
-
-    def quiet_s(self, now: float) -> float:
-        """Returns for how long it has owed answers and told nothing."""
-        return now - self.owes_since if self.outstanding else 0.0
-
-    def occupancy(self, now: float) -> float:
-        """Returns how many requests are likely to run or wait there."""
-        age = now - self.told_at
-        others = self.others * max(0.0, 1.0 - age / LOAD_FADES_S)
-        return others + self.outstanding
-
-
-class Room(enum.Enum):
-    """What is known of an endpoint's slots."""
-
-    FREE = "free"
-    FULL = "full"
-    UNKNOWN = "unknown"
-
-
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Weighed:
     """An endpoint as a choice weighs it.
 
     Attributes:
         distance: `BESIDE`, `NEAR` or `AWAY`.
-        free: Whether a slot is likely to be free there.
-        cost_s: Seconds until an answer is likely, weighed.
+        answer_s: Seconds until an answer is likely; infinite where that is not
+            known, or no slot is free.
+        cost_s: The same for all, with what speaks for and against going there.
     """
 
     presence: Presence
     distance: int
-    free: bool
-    cost_s: float
-
-    def within(self, limit_s: float) -> bool:
-        """Tells whether an answer is likely in a time, without a queue."""
-        return self.free and self.cost_s <= limit_s
+    answer_s: float
+    cost_s: float = 0.0
 
 
 class Chooser:
@@ -203,7 +127,7 @@
         if len(usable) <= 1:
             return usable[0] if usable else None
         unknown = [p for p in usable if not self._seen(p, now).told_at]
-        some = 0 < len(unknown) < len(usable)
+        some = 0 < len(unknown) < len(usable) and body_bytes <= ACQUAINT_BYTES
         if some and self.rng.randrange(ACQUAINT_IN) == 0:
             return self.rng.choice(unknown)
         away_s = AWAY_S + body_bytes / AWAY_BYTES_PER_S + AWAY_PART * aim_s
@@ -212,7 +136,9 @@
             for presence in self._some_of(usable)
         ]
         soon_s = SOON_PART * aim_s
-        soon = [w for w in weighed if w.distance < AWAY and w.within(soon_s)]
+        soon = [
+            w for w in weighed if w.distance < AWAY and w.answer_s <= soon_s
+        ]
         if soon:
             nearest = min(w.distance for w in soon)
             weighed = [w for w in soon if w.distance == nearest]
@@ -264,27 +190,28 @@
         distance = self._distance(presence)
         seen = self._seen(presence, now)
         slots = max(1, presence.slots)
-        held_s = max(seen.held_s, seen.latency_s)
-        runs_s = max(seen.held_by.get(kind, seen.held_s), seen.latency_s)
         short = max(0.0, seen.occupancy(now) + 1 - slots)
-        answer_s = runs_s + held_s * short / slots
+        answer_s = seen.usual_s(kind) + seen.held_s * short / slots
         # Who is cut off or frozen tells nothing; that is noticed long before
         # the requests that were sent there have had their time.
         answer_s = max(answer_s, seen.quiet_s(now))
-        if distance == BESIDE:
-            answer_s *= OWN_PART
-        elif distance == AWAY:
-            answer_s += away_s
-        warmth = min(1.0, max(RAMP_FLOOR, (now - seen.since) / RAMP_S))
         age = now - seen.failed_at
         failing = seen.failing * math.exp(-age / FAILING_FADES_S)
-        trust = warmth / (1 + FAILING_FACTOR * failing**2)
-        return _Weighed(
+        answer_s *= 1 + FAILING_FACTOR * failing**2
+        known = seen.told_at > 0.0
+        weighed = _Weighed(
             presence=presence,
             distance=distance,
-            free=short == 0,
-            cost_s=answer_s / trust * self.rng.uniform(1 - JITTER, 1 + JITTER),
+            answer_s=answer_s if known and short == 0 else math.inf,
         )
+        if distance == BESIDE:
+            answer_s *= OWN_PART
+        elif distance == AWAY:
+            answer_s += away_s
+        warmth = min(1.0, max(RAMP_FLOOR, (now - seen.since) / RAMP_S))
+        jitter = self.rng.uniform(1 - JITTER, 1 + JITTER)
+        weighed.cost_s = answer_s / warmth * jitter
+        return weighed
 
     def shortest_wait(
         self, present: tuple[Presence, ...], now: float, kind: str = ""
@@ -356,6 +283,7 @@
         failed: bool,
         gone: bool = False,
         shed: bool = False,
+        kind: str = "",
     ) -> None:
         """Notes that a request has ended.
 
@@ -366,6 +294,7 @@
             failed: Whether the endpoint failed it.
             gone: Whether nothing listens there, which is conclusive.
             shed: Whether its target turned the request away.
+            kind: What sort of request it was.
         """
         seen = self._seen(presence, now)
         seen.outstanding = max(0, seen.outstanding - 1)
@@ -377,7 +306,7 @@
             seen.failures = 0
             seen.ejections = 0
             if took_s is not None:
-                seen.latency_s += EWMA_WEIGHT * (took_s - seen.latency_s)
+                seen.answered(kind, took_s)
             return
         seen.failures = EJECT_AFTER if gone else seen.failures + 1
         if seen.failures < EJECT_AFTER:
@@ -397,8 +326,7 @@
             kind: What sort of request it owes an answer to.
         """
         seen = self._seen(presence, now)
-        usual_s = max(seen.held_by.get(kind, seen.held_s), seen.latency_s)
-        return max(PATIENCE_LEAST_S, PATIENCE_FACTOR * usual_s)
+        return max(PATIENCE_LEAST_S, PATIENCE_FACTOR * seen.usual_s(kind))
 
     def silent_since(self, presence: Presence, sent: float) -> bool:
         """Tells whether an endpoint has told nothing since a moment.
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -8,7 +8,7 @@
 
 from fulmarrudder.call.answer import Answer, refused
 from fulmarrudder.call.body import RequestBody
-from fulmarrudder.call.choose import Chooser, Room, Told
+from fulmarrudder.call.choose import Chooser
 from fulmarrudder.call.dialect import OWN, Dialect
 from fulmarrudder.call.ending import (
     Answered,
@@ -29,6 +29,7 @@
 from fulmarrudder.call.gather import gather
 from fulmarrudder.call.host import Host, LiveAnswer
 from fulmarrudder.call.message import Refusal, RefusalReason, RequestHead
+from fulmarrudder.call.observed import Room, Told
 from fulmarrudder.call.plan import Call, Patience, plan
 from fulmarrudder.call.refusals import not_run
 from fulmarrudder.call.retry import (
@@ -363,6 +364,7 @@
                 failed=failed,
                 gone=nothing_there(ending),
                 shed=shed(ending),
+                kind=call.route.name,
             )
         return tried
 
--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -6,7 +6,6 @@
 import functools
 import urllib.parse
 
-from fulmarrudder.call.choose import Told
 from fulmarrudder.call.host import HostRequest
 from fulmarrudder.call.message import (
     ARRIVED_HEADER,
@@ -24,6 +23,7 @@
     RequestHead,
     ResponseHead,
 )
+from fulmarrudder.call.observed import Told
 from fulmarrudder.call.refusals import malformed
 
 TIME_LEFT_LIMIT_MS = 24 * 3600 * 1000
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -30,6 +30,7 @@
 )
 from fulmarrudder.call.ending import FAILED_FROM
 from fulmarrudder.call.errors import CallError, ConnectError, SlotError
+from fulmarrudder.call.exchange import BrokenError, Ended, Exchange
 from fulmarrudder.call.message import (
     Framing,
     Ran,
@@ -44,7 +45,7 @@
 from fulmarrudder.call.slots import Ask, Slots
 from fulmarrudder.call.suspects import STRIKE_S, refuse_suspect
 from fulmarrudder.call.tally import Tallies
-from fulmarrudder.call.upstream import BrokenError, Ended, Exchange, Pool
+from fulmarrudder.call.upstream import Pool
 from fulmarrudder.call.warmth import Warmth
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.membership import Beside, FactStore
--- a/src/fulmarrudder/call/retry.py
+++ b/src/fulmarrudder/call/retry.py
@@ -4,7 +4,6 @@
 import enum
 from functools import singledispatch
 
-from fulmarrudder.call.choose import Room
 from fulmarrudder.call.ending import (
     Answered,
     Broken,
@@ -13,6 +12,7 @@
     Late,
 )
 from fulmarrudder.call.message import Ran, RefusalReason
+from fulmarrudder.call.observed import Room
 
 # Attempts, with those that nodes turned away before a target saw them.
 MOST_ATTEMPTS = 5
--- a/src/fulmarrudder/call/sender.py
+++ b/src/fulmarrudder/call/sender.py
@@ -4,13 +4,15 @@
 import dataclasses
 from collections.abc import Callable
 
-from fulmarrudder.call.choose import Chooser, Told
+from fulmarrudder.call.choose import Chooser
+from fulmarrudder.call.exchange import NOWHERE, Exchange
 from fulmarrudder.call.hop import hop_fields, load_of, refusal_of
 from fulmarrudder.call.host import LiveAnswer
 from fulmarrudder.call.message import Framing, Refusal, ResponseHead
+from fulmarrudder.call.observed import Told
 from fulmarrudder.call.plan import Call
 from fulmarrudder.call.screen import clean_response
-from fulmarrudder.call.upstream import NOWHERE, Exchange, Pool
+from fulmarrudder.call.upstream import Pool
 from fulmarrudder.clock import Clock
 from fulmarrudder.model import Presence
 
--- a/tests/call/test_choose.py
+++ b/tests/call/test_choose.py
@@ -3,14 +3,8 @@
 import collections
 import random
 
-from fulmarrudder.call.choose import (
-    EJECT_BASE_S,
-    LOAD_FADES_S,
-    RAMP_S,
-    Chooser,
-    Room,
-    Told,
-)
+from fulmarrudder.call.choose import EJECT_BASE_S, RAMP_S, Chooser
+from fulmarrudder.call.observed import LOAD_FADES_S, Room, Told
 from fulmarrudder.model import Condition, Presence
 
 
@@ -77,6 +71,18 @@
     assert choosing.choose((own, near), "1", 10.0, aim_s=0.4) is near
 
 
+def test_large_body_is_not_sent_anywhere_just_to_learn():
+    """Played quiet-1: uploads crossed data centres to targets yet unknown."""
+    choosing = chooser()
+    near, far = endpoint("near"), endpoint("far", place="lima-2")
+    choosing.told(near, 10.0, Told(load=0, held_s=0.1))
+    found = {
+        choosing.choose((near, far), "1", 10.0, body_bytes=60_000).node
+        for _ in range(400)
+    }
+    assert found == {"near"}
+
+
 def test_endpoint_that_owes_answers_and_tells_nothing_is_left():
     """The same day: for 6 s of a cut, most requests went into it and died."""
     choosing = chooser()
--- a/tests/call/test_host.py
+++ b/tests/call/test_host.py
@@ -8,6 +8,7 @@
 
 from fulmarrudder.call.body import RequestBody
 from fulmarrudder.call.errors import ConnectError
+from fulmarrudder.call.exchange import Exchange
 from fulmarrudder.call.host import PROBE_S, Host, HostRequest
 from fulmarrudder.call.message import (
     BodyEnd,
@@ -18,7 +19,6 @@
     ResponseHead,
 )
 from fulmarrudder.call.outlet import Outlet
-from fulmarrudder.call.upstream import Exchange
 from fulmarrudder.membership import Announcement, Beside, FactStore
 from fulmarrudder.model import Condition, Strike
 from tests.call.fakes import FakeLog, FakeSource
--- a/tests/call/test_retry.py
+++ b/tests/call/test_retry.py
@@ -2,9 +2,9 @@
 
 import pytest
 
-from fulmarrudder.call.choose import Room
 from fulmarrudder.call.ending import Answered, Broken, Declined, Late
 from fulmarrudder.call.message import Ran, Refusal, RefusalReason
+from fulmarrudder.call.observed import Room
 from fulmarrudder.call.retry import (
     BUDGET_LIMIT,
     MOST_ATTEMPTS,
--- a/tests/call/test_sender.py
+++ b/tests/call/test_sender.py
@@ -7,14 +7,10 @@
 from twisted.internet.task import Clock
 
 from fulmarrudder.call.body import RequestBody
-from fulmarrudder.call.choose import (
-    FIRST_HELD_S,
-    PATIENCE_FACTOR,
-    Chooser,
-    Told,
-)
+from fulmarrudder.call.choose import PATIENCE_FACTOR, Chooser
 from fulmarrudder.call.errors import CallError
 from fulmarrudder.call.message import Headers, RequestHead
+from fulmarrudder.call.observed import FIRST_HELD_S, Told
 from fulmarrudder.call.plan import Call
 from fulmarrudder.call.sender import Sender
 from fulmarrudder.model import Condition, Presence, Route
