--- a/src/fulmarrudder/call/claims.py
+++ b/src/fulmarrudder/call/claims.py
@@ -15,6 +15,7 @@
     Deferred,
     inlineCallbacks,
 )
+from twisted.internet.task import deferLater
 
 from fulmarrudder.call.claimindex import ClaimIndex, Entry
 from fulmarrudder.clock import Clock
@@ -236,10 +237,8 @@
         return True
 
     def _sleep(self, delay: float, until: float) -> Deferred:
-        done: Deferred = Deferred()
         left = max(0.0, until - self.clock.seconds())
-        self.clock.callLater(min(delay, left), done.callback, None)
-        return done
+        return deferLater(self.clock, min(delay, left))
 
     def _keep(self, body: KeyBody) -> None:
         if len(self.backlog) >= BACKLOG_LIMIT:
--- a/src/fulmarrudder/call/ending.py
+++ b/src/fulmarrudder/call/ending.py
@@ -45,14 +45,14 @@
 Ending = Answered | Declined | Broken | Late
 
 
-def nothing_there(ending: Ending) -> bool:
+def nothing_there(ending: Ending | None) -> bool:
     """Tells whether an attempt shows that its endpoint has no target."""
     if not isinstance(ending, Declined):
         return False
     return ending.refusal.reason in NOTHING_THERE
 
 
-def shed(ending: Ending) -> bool:
+def shed(ending: Ending | None) -> bool:
     """Tells whether a target turned the request away."""
     if not isinstance(ending, Declined):
         return False
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -315,12 +315,9 @@
         present = self.facts.endpoints_of(call.service)
         now = self.clock.seconds()
         for wanted in versions:
-            fit = tuple(
-                p
-                for p in present
-                if wanted.admit(p.target_version)
-                and worth_asking(self.chooser.room(p, now), call.crowded)
-            )
+            fit = tuple(p for p in present if wanted.admit(p.target_version))
+            if call.crowded:
+                fit = self._worth_asking(fit, call, now)
             chosen = self.chooser.choose(
                 fit,
                 None,
@@ -334,6 +331,15 @@
                 return chosen
         return None
 
+    def _worth_asking(
+        self, fit: tuple[Presence, ...], call: Call, now: float
+    ) -> tuple[Presence, ...]:
+        return tuple(
+            presence
+            for presence in fit
+            if worth_asking(self.chooser.room(presence, now), call.crowded)
+        )
+
     async def _attempt(self, call: Call, presence: Presence) -> _Tried:
         started = self.clock.seconds()
         self.chooser.sent(presence, started)
--- a/src/fulmarrudder/call/exchange.py
+++ b/src/fulmarrudder/call/exchange.py
@@ -46,6 +46,7 @@
             been taken, and before the end has.
         head: The response head once it has come.
         on_end: Called once with an `Ended`.
+        told: Whether `begun` has been fired with the head.
     """
 
     __slots__ = (
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -13,6 +13,7 @@
     TimeoutError,
     ensureDeferred,
 )
+from twisted.internet.task import deferLater
 
 from fulmarrudder.call.answer import Answer, WholeAnswer, refused
 from fulmarrudder.call.body import RequestBody
@@ -360,18 +361,13 @@
             connection = None
         if connection is not None:
             # One that dies may accept connections until it is gone.
-            await self._rest(PROBE_S)
+            await deferLater(self.clock, PROBE_S)
             if not connection.lost:
                 self.pool.give_back(connection)
                 return
         self.beside.refused_connection()
         self._strike(request, address, incarnation)
 
-    def _rest(self, seconds: float) -> Deferred:
-        done: Deferred = Deferred()
-        self.clock.callLater(seconds, done.callback, None)
-        return done
-
     def _tally(self, request: HostRequest, started: float, *, failed) -> None:
         now = self.clock.seconds()
         cold = self.warmth.cold(self.beside.latest.incarnation, now)
--- a/src/fulmarrudder/call/observed.py
+++ b/src/fulmarrudder/call/observed.py
@@ -51,7 +51,8 @@
         told_at: Clock seconds at which it last told.
         owes_since: Clock seconds since which it has owed an answer and told
             nothing.
-        failed_at: Clock seconds of the latest of these.
+        failed_at: Clock seconds of the latest request that failed or was
+            turned away.
     """
 
     since: float
--- a/src/fulmarrudder/node/daemon.py
+++ b/src/fulmarrudder/node/daemon.py
@@ -8,8 +8,8 @@
 from collections.abc import Callable
 
 import click
-from twisted.internet.defer import Deferred, inlineCallbacks
-from twisted.internet.task import LoopingCall
+from twisted.internet.defer import inlineCallbacks
+from twisted.internet.task import LoopingCall, deferLater
 
 from fulmarrudder import __version__
 from fulmarrudder.clock import wall_seconds
@@ -103,7 +103,7 @@
         logs.info("stopping", in_flight=self.node.calls.active)
         self.node.leave()
         # Callers and entry nodes that have not heard yet are still served.
-        yield self._sleep(LEAVE_S)
+        yield deferLater(self.reactor, LEAVE_S)
         yield self.call_port.stopListening()
         yield self.node.calls.leave()
         yield from self._settle()
@@ -120,12 +120,7 @@
             if self.reactor.seconds() > deadline:
                 logs.error("settlements-lost")
                 return
-            yield self._sleep(BACKLOG_WAIT_S)
-
-    def _sleep(self, seconds: float) -> Deferred:
-        done: Deferred = Deferred()
-        self.reactor.callLater(seconds, done.callback, None)
-        return done
+            yield deferLater(self.reactor, BACKLOG_WAIT_S)
 
 
 @click.command()
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -7,8 +7,8 @@
 import signal
 import sys
 
-from twisted.internet.defer import Deferred, ensureDeferred, inlineCallbacks
-from twisted.internet.task import LoopingCall
+from twisted.internet.defer import ensureDeferred, inlineCallbacks
+from twisted.internet.task import LoopingCall, deferLater
 
 from fulmarrudder import __version__
 from fulmarrudder.clock import wall_seconds
@@ -215,7 +215,7 @@
         logs.info("stopping", in_flight=self.member.calls.active)
         began = self.reactor.seconds()
         self.member.leave()
-        yield self._sleep(LEAVE_S)
+        yield deferLater(self.reactor, LEAVE_S)
         left = began + self.machine.grace_s - STOP_SLACK_S
         yield self.call_port.stopListening()
         leaving = self.member.calls.leave()
@@ -233,11 +233,6 @@
         logs.info("stopped", store_calls=self.store.calls)
         self.reactor.stop()
 
-    def _sleep(self, seconds: float) -> Deferred:
-        done: Deferred = Deferred()
-        self.reactor.callLater(seconds, done.callback, None)
-        return done
-
 
 def _place(machine: Machine) -> Place:
     return Place(
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 
 from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
+from twisted.internet.task import deferLater
 
 from fulmarrudder.clock import Clock
 from fulmarrudder.log import Backoff
@@ -78,11 +79,11 @@
                 self.next_offset = -1
             except StoreError as error:
                 self._note_away(error)
-                await self._sleep(self.backoff.next_delay())
+                await deferLater(self.clock, self.backoff.next_delay())
             else:
                 self._note_back()
                 if self.heard:
-                    await self._sleep(PAUSE_S)
+                    await deferLater(self.clock, PAUSE_S)
 
     async def _step(self) -> None:
         if self.next_offset < 0:
@@ -107,8 +108,3 @@
             logs.info("store-back", topic=self.topic, offset=self.next_offset)
         self.available = True
         self.backoff.reset()
-
-    def _sleep(self, seconds: float) -> Deferred:
-        done: Deferred = Deferred(lambda _: timer.cancel())
-        timer = self.clock.callLater(seconds, done.callback, None)
-        return done
