A version's line tells the way it came by and how current the node is

A 404 named the active version only, and the line of a version nothing of how it came.

in-force: source (store or peer), the age of the version before, the time since the store answered last, the newest version that a neighbour told of and since when. version-told: the first neighbour to tell of a newer version. A 404 (call-refused, reason no-route) carries the same fields, so that one record is enough to see whether the node was late and which way was waiting.

No decision is changed. Test: the line of a request without a route.

--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -39,6 +39,7 @@
     StaleConnectionError,
     UpstreamAnswer,
 )
+from fulmarrudder.call.freshness import ConfigFreshness
 from fulmarrudder.call.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from fulmarrudder.call.host import HostPipeline
 from fulmarrudder.call.load_balancer import LoadBalancer
@@ -111,6 +112,7 @@
 
     Attributes:
         active_config: Configuration by which calls are routed.
+        freshness: How current it is.
         retry_budgets: Retry budgets of this node, shared with `host`.
         header_names: Header field names of callers and targets.
         calling_service: Returns the service of the local target, which sends
@@ -159,6 +161,7 @@
             balancer=balancer,
         )
         self.active_config = ActiveConfig()
+        self.freshness = ConfigFreshness()
         self.steps = (
             sanitize_request,
             self._check_configured,
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -241,8 +241,14 @@
             version=state.version if state else 0,
             running=factory.host.slots.taken,
             queued=factory.host.slots.queued,
+            **self._freshness_fields(refusal, now),
         )
 
+    def _freshness_fields(self, refusal: Refusal, now: float) -> dict:
+        if refusal.reason is not RefusalReason.NO_ROUTE:
+            return {}
+        return self.factory.entry.freshness.log_fields(now)
+
     @property
     def request_id(self) -> str:
         """Id that the caller gave the request, or a dash."""
--- a/src/fulmarrudder/distribution/document_exchange.py
+++ b/src/fulmarrudder/distribution/document_exchange.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from fulmarrudder.clock import Clock
+from fulmarrudder.distribution.guard import ignore
 from fulmarrudder.distribution.link import IDLE_TIMEOUT_S, Link
 from fulmarrudder.distribution.message import (
     Document,
@@ -53,6 +54,8 @@
     Attributes:
         current_document: Returns the active document, or None.
         on_document: Called with a document from another node.
+        on_version_told: Called with each version that a neighbour tells of
+            and that is newer than the active one, and the neighbour.
         offers: Offers of neighbours by link.
         received: Newest version that was received; this node may have refused
             it.
@@ -77,12 +80,14 @@
         metrics: Metrics,
         current_document: Callable[[], Document | None],
         on_document: Callable[[Document], None],
+        on_version_told: Callable[[int, str], None] = ignore,
     ):
         self.clock = clock
         self.rng = rng
         self.metrics = metrics
         self.current_document = current_document
         self.on_document = on_document
+        self.on_version_told = on_version_told
         self.offers: dict[Link, Offer] = {}
         self.received = 0
         self.source: Link | None = None
@@ -102,6 +107,7 @@
     def add_offer(self, link: Link, offer: Offer) -> None:
         """Adds a neighbour, and requests its document if it is newer."""
         self.offers[link] = offer
+        self._report_told(link, offer.version)
         self.request_newer()
 
     def withdraw_offer(self, link: Link) -> None:
@@ -190,6 +196,7 @@
         if message.offset <= self._known_version:
             self._end_request(link)
         self._update_offer(link, message.offset)
+        self._report_told(link, message.offset)
 
     def receive(self, document: Document, link: Link) -> None:
         """Passes a document on, and tells all neighbours that it has arrived.
@@ -244,6 +251,10 @@
             offer, version=version, due_at=due_at
         )
 
+    def _report_told(self, link: Link, version: int) -> None:
+        if version > self.version:
+            self.on_version_told(version, link.node)
+
     def _is_sending(self) -> bool:
         return (
             self.receiver is not None
--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -132,6 +132,7 @@
         current_document: Callable[[], Document | None],
         on_document: Callable[[Document], None],
         on_new_fact: Callable[[Fact], None],
+        on_version_told: Callable[[int, str], None] = ignore,
         evidence_readers: Callable[[], frozenset[str]] = frozenset,
     ):
         self.clock = clock
@@ -174,6 +175,7 @@
             metrics=metrics,
             current_document=current_document,
             on_document=on_document,
+            on_version_told=on_version_told,
         )
         # An exception at one neighbour does not keep others from the rest.
         self.dial_guarded = dialer.guard("gossip", self._dial_if_due, ignore)
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import enum
 import random
 from collections.abc import Callable
 
@@ -90,6 +91,13 @@
     retry_slack: float
 
 
+class VersionSource(enum.Enum):
+    """Where a node has a configuration version from."""
+
+    STORE = "store"
+    PEER = "peer"
+
+
 class GossipNode:
     """A node and its local target, in a fleet without relays.
 
@@ -191,6 +199,7 @@
             current_document=lambda: self.document,
             on_document=on_document,
             on_new_fact=guard("facts", self._on_new_fact),
+            on_version_told=self._record_told,
             evidence_readers=self.controller_candidates,
         )
         self.host = HostPipeline(
@@ -271,13 +280,18 @@
         )
 
     def apply_arrangement(
-        self, document: Document, arrangement: Arrangement
+        self,
+        document: Document,
+        arrangement: Arrangement,
+        *,
+        source: VersionSource = VersionSource.STORE,
     ) -> None:
         """Activates a configuration version unless it is outdated.
 
         Args:
             document: The version as the operator wrote it.
             arrangement: The arrangement parsed from it.
+            source: Where it came from.
         """
         if document.version <= self.version:
             return
@@ -295,11 +309,21 @@
         table = RouteTable(arrangement)
         self.entry.active_config = ActiveConfig(state=self.state, table=table)
         self.calls.limits = arrangement.limits
+        now = self.clock.seconds()
         logs.info(
-            "in-force", version=document.version, routes=len(arrangement.routes)
+            "in-force",
+            version=document.version,
+            routes=len(arrangement.routes),
+            source=source.value,
+            **self.entry.freshness.log_fields(now),
         )
+        self.entry.freshness.activated_at = now
         self.gossip.tell_version()
 
+    def confirm_version(self) -> None:
+        """Records that the source of versions has answered."""
+        self.entry.freshness.confirmed_at = self.clock.seconds()
+
     def add_move_request(self, request: MoveRequest) -> None:
         """Adds an operator's request to move a service."""
         if self.move_requests.add_move_request(request):
@@ -452,6 +476,17 @@
         self.gossip.stop()
         self.pool.close()
 
+    def _record_told(self, version: int, peer: str) -> None:
+        now = self.clock.seconds()
+        if not self.entry.freshness.record_told(version, now):
+            return
+        logs.info(
+            "version-told",
+            version=version,
+            peer=peer,
+            active_version=self.version,
+        )
+
     def _on_new_fact(self, fact: Fact) -> None:
         if isinstance(fact, Evidence):
             self.monitor.add_evidence(fact)
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -130,6 +130,7 @@
             on_record=self.supervisor.guard(
                 "operator-records", self.operator_records.apply_record
             ),
+            on_answer=self.node.confirm_version,
         )
 
     def start(self) -> None:
--- a/src/fulmarrudder/platform/operator_records.py
+++ b/src/fulmarrudder/platform/operator_records.py
@@ -4,7 +4,7 @@
 
 from fulmarrudder.distribution import Document
 from fulmarrudder.node.errors import UnconfirmedError
-from fulmarrudder.node.gossip_node import GossipNode
+from fulmarrudder.node.gossip_node import GossipNode, VersionSource
 from fulmarrudder.observe import logs
 from fulmarrudder.platform.config import parse_config
 from fulmarrudder.platform.errors import StoreError
@@ -46,18 +46,22 @@
     def _apply_config_record(self, record: KeyedRecord) -> None:
         if record.value is None:
             return
-        self.apply_config(record.value.decode("utf-8", "replace"))
+        text = record.value.decode("utf-8", "replace")
+        self.apply_config(text, source=VersionSource.STORE)
 
     def apply_document(self, document: Document) -> None:
         """Applies another node's configuration when it is newer."""
         if document.version > self.node.version:
-            self.apply_config(document.text)
+            self.apply_config(document.text, source=VersionSource.PEER)
 
-    def apply_config(self, text: str) -> None:
+    def apply_config(
+        self, text: str, *, source: VersionSource = VersionSource.STORE
+    ) -> None:
         """Applies a configuration when it is valid and newer.
 
         Args:
             text: JSON.
+            source: Where it came from.
         """
         parsed = parse_config(text.encode())
         if parsed.is_error():
@@ -72,7 +76,7 @@
             )
             return
         document = Document(version=version, text=text)
-        self.node.apply_arrangement(document, arrangement)
+        self.node.apply_arrangement(document, arrangement, source=source)
 
     def _apply_rollout(self, record: KeyedRecord, service: str) -> None:
         if record.value is None:
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -30,6 +30,8 @@
 
     Attributes:
         topic: Name of the topic.
+        on_record: Called with each record.
+        on_answer: Called after the records of an answer were passed on.
         next_offset: Offset of the next record; -1 to read the latest record of
             each key first.
         offsets: Offset of the latest record passed on, by key.
@@ -47,11 +49,13 @@
         rng: random.Random,
         topic: str,
         on_record: Callable[[KeyedRecord], None],
+        on_answer: Callable[[], None],
     ):
         self.store = store
         self.clock = clock
         self.topic = topic
         self.on_record = on_record
+        self.on_answer = on_answer
         self.next_offset = -1
         self.offsets: dict[str, int] = {}
         self.available = False
@@ -117,6 +121,7 @@
         self.lags = self.next_offset >= 0 and written > passed
         # Another read may have come further meanwhile.
         self.next_offset = max(self.next_offset, batch.next_offset)
+        self.on_answer()
         return bool(batch.records)
 
     def _mark_unavailable(self, error: StoreError) -> None:
--- a/tests/call/test_walks.py
+++ b/tests/call/test_walks.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from fulmarrudder.call import RouteTable
+from fulmarrudder.model import Arrangement
 from tests.call.network import Caller, MeshNode, Network, Target
 from tests.conftest import LogBuilder, publish
 
@@ -139,3 +141,27 @@
     walk.network.run(0.01)
     assert caller.received.startswith(b"HTTP/1.1 200")
     assert not walk.lines()
+
+
+# A request without a route is either wrong or meets a node whose configuration
+# is late; its line alone has to tell which.
+def test_line_of_a_request_without_a_route_tells_how_current_the_routes_are(
+    walk,
+):
+    walk.network.advance(1.0)
+    walk.entry.entry.active_config.table = RouteTable(Arrangement())
+    freshness = walk.entry.entry.freshness
+    now = walk.network.seconds()
+    freshness.activated_at = now - 2.5
+    freshness.confirmed_at = now - 2.0
+    freshness.record_told(97, now - 1.5)
+    caller = Caller()
+    walk.network.connect(CALL_PORT, caller).write(
+        b"GET /missing HTTP/1.1\r\nHost: a\r\n\r\n"
+    )
+    walk.network.run(0.01)
+    (line,) = walk.log_lines.take("call-refused", reason="no-route")
+    assert float(line["version_ms"]) == pytest.approx(2500, abs=20)
+    assert float(line["source_ms"]) == pytest.approx(2000, abs=20)
+    assert line["told_version"] == "97"
+    assert float(line["told_ms"]) == pytest.approx(1500, abs=20)
--- a/tests/node/test_verdict_faults.py
+++ b/tests/node/test_verdict_faults.py
@@ -270,6 +270,7 @@
             rng=self.node.rng,
             topic=OPERATOR_TOPIC,
             on_record=self.records.apply_record,
+            on_answer=self.node.confirm_version,
         )
         self.renewal = None
         self.reading = None
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -125,6 +125,7 @@
         rng=random.Random(1),
         topic="keyed.op",
         on_record=passed.append,
+        on_answer=lambda: None,
     )
     ensureDeferred(tail.run())
     return tail, passed
