After a store that did not answer, the end of the topic is asked for first

Cause: a read that is sent within a cut is waited for 6 s, up to 5 s of them after it. Short reads instead were tried and taken back: they were given up while a large version arrived, and begun again. Class: one time limit for two things, whether the store answers at all and how long its answer takes.

Now a tail whose last read was not answered asks for the end of the topic, some 100 bytes, with 1 s for it, and reads only if something was missed, the latest of each key if more than one record was. A response whose head is here, and which tells its length, has 5 s for the rest, so that it is not begun again on a slow link; a body without a length keeps its old limit.

--- a/src/fulmarrudder/platform/store.py
+++ b/src/fulmarrudder/platform/store.py
@@ -8,6 +8,7 @@
 import json
 import struct
 import urllib.parse
+from collections.abc import Callable
 
 from twisted.internet.defer import TimeoutError
 
@@ -22,6 +23,7 @@
     RequestHead,
 )
 from fulmarrudder.clock import Clock
+from fulmarrudder.node.supervisor import ignore
 from fulmarrudder.platform.errors import (
     ExpiredError,
     StoreRejectedError,
@@ -31,8 +33,15 @@
 # The store answers within milliseconds, so after this time it is overloaded or
 # unavailable.
 CALL_TIMEOUT_S = 1.5
-# Added to the wait time of a read to get its timeout.
+# Added to the wait time of a read to get the timeout of its first byte.
 READ_TIMEOUT_SLACK_S = 1.0
+# Time from the head of a response to its end. Records of a large configuration
+# take seconds on a slow link, while a store that cannot be reached sends no head.
+BODY_TIMEOUT_S = 5.0
+# Time for the end of a topic, which is a small response.
+END_TIMEOUT_S = 1.0
+# No key comes after it: keys are names.
+LAST_KEY = "\x7f"
 CONFLICT_STATUSES = frozenset({409, 412})
 FIRST_PARTITION = 0
 LENGTH_PREFIX = struct.Struct(">I")
@@ -156,13 +165,34 @@
             query["after"] = records[-1].key
             last_keys.add(records[-1].key)
 
-    async def read(self, topic: str, start: int, wait_s: float) -> RecordBatch:
+    async def read_end(self, topic: str) -> int:
+        """Returns the offset at which a compacted topic ends.
+
+        Raises:
+            StoreError: The store is unavailable or rejects the call.
+        """
+        query = {"topic": topic, "part": "0", "after": LAST_KEY}
+        response = await self._get("/-/log-newest", query, END_TIMEOUT_S)
+        end = _parse_object(response).get("endOffset")
+        if not isinstance(end, int):
+            raise StoreRejectedError(response.status, "page without an end")
+        return end
+
+    async def read(
+        self,
+        topic: str,
+        start: int,
+        wait_s: float,
+        *,
+        on_head: Callable[[], None] = ignore,
+    ) -> RecordBatch:
         """Reads records of a compacted topic from an offset on.
 
         Args:
             topic: Name of the topic.
             start: Offset of the first record.
             wait_s: Seconds to wait for a record when there is none.
+            on_head: Called when the response begins to arrive.
 
         Raises:
             ExpiredError: The records are no longer kept.
@@ -175,7 +205,10 @@
             "waitMs": str(int(wait_s * 1000)),
         }
         response = await self._get(
-            "/-/log-read", query, timeout_s=wait_s + READ_TIMEOUT_SLACK_S
+            "/-/log-read",
+            query,
+            timeout_s=wait_s + READ_TIMEOUT_SLACK_S,
+            on_head=on_head,
         )
         return _parse_read_response(response.body, start)
 
@@ -280,9 +313,11 @@
         path: str,
         query: dict[str, str],
         timeout_s: float = CALL_TIMEOUT_S,
+        *,
+        on_head: Callable[[], None] = ignore,
     ) -> StoreResponse:
         head = self._head(b"GET", path, query, 0)
-        return await self._call(head, b"", timeout_s)
+        return await self._call(head, b"", timeout_s, on_head)
 
     async def _post(
         self, path: str, query: dict[str, str], body: bytes
@@ -308,13 +343,19 @@
         )
 
     async def _call(
-        self, head: RequestHead, body: bytes, timeout_s: float
+        self,
+        head: RequestHead,
+        body: bytes,
+        timeout_s: float,
+        on_head: Callable[[], None] = ignore,
     ) -> StoreResponse:
         self.calls += 1
         deadline = self.clock.seconds() + timeout_s
         try:
             connection = await self.pool.acquire(self.address)
-            response = await self._exchange(connection, head, body, deadline)
+            response = await self._exchange(
+                connection, head, body, deadline, on_head
+            )
         except (CallError, TimeoutError) as error:
             raise StoreUnavailableError(
                 f"{type(error).__name__}: {error}"
@@ -335,18 +376,41 @@
         head: RequestHead,
         body: bytes,
         deadline: float,
+        on_head: Callable[[], None],
     ) -> StoreResponse:
+        """Sends a request and returns its response.
+
+        Args:
+            connection: The connection to use.
+            head: Head of the request.
+            body: Body of the request.
+            deadline: Clock seconds until which the head of the response is
+                awaited; a body whose length it tells may take
+                `BODY_TIMEOUT_S` longer.
+            on_head: Called when the head of the response has arrived.
+
+        Raises:
+            CallError: The connection was lost.
+            TimeoutError: The response did not arrive in time.
+        """
         request_body = RequestBody(_NullProducer())
         if body:
             request_body.receive_part(body)
         request_body.receive_end()
         exchange = connection.start(head, request_body)
-        answer_head = await exchange.wait_for_head(deadline)
+        head_left_s = max(0.0, deadline - self.clock.seconds())
+        answer_head = await exchange.wait_for_head(
+            deadline + BODY_TIMEOUT_S
+        ).addTimeout(head_left_s, self.clock)
+        on_head()
         collector = BodyCollector()
         exchange.stream_to(collector)
-        remaining = max(0.0, deadline - self.clock.seconds())
+        body_left_s = BODY_TIMEOUT_S
+        if answer_head.framing is not Framing.LENGTH:
+            # It may have no end.
+            body_left_s = max(0.0, deadline - self.clock.seconds())
         try:
-            data = await collector.body.addTimeout(remaining, self.clock)
+            data = await collector.body.addTimeout(body_left_s, self.clock)
         except TimeoutError:
             exchange.cancel()
             raise
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -94,8 +94,24 @@
             continue
 
     async def _read_once(self) -> None:
+        self.received_records = False
+        if not self.available and self.next_offset >= 0:
+            await self._read_missed()
+            return
         self.received_records = await self._read_batch(LONG_POLL_S)
 
+    async def _read_missed(self) -> None:
+        """Reads what was written while the store did not answer.
+
+        The end of the topic is asked for first: it is a small response, so that
+        it tells soon whether the store answers, on a slow link as well.
+        """
+        missed = await self.store.read_end(self.topic) - self.next_offset
+        if missed <= 0:
+            return
+        self.lags = missed > 1
+        self.received_records = await self._read_batch(wait_s=0.0)
+
     async def _read_batch(self, wait_s: float) -> bool:
         """Passes on the records that follow; returns whether there were any."""
         if self.next_offset < 0:
--- a/tests/node/test_verdict_faults.py
+++ b/tests/node/test_verdict_faults.py
@@ -192,7 +192,7 @@
 
         return await self._call(execute, "read")
 
-    async def read(self, topic, start, wait_s):
+    async def read(self, topic, start, wait_s, **_):
         records = self.store.topics[topic]
         return await self._call(
             lambda: RecordBatch(
--- a/tests/platform/test_move_results.py
+++ b/tests/platform/test_move_results.py
@@ -49,7 +49,7 @@
             raise StoreUnavailableError("503")
         return RecordBatch(records=self.records.get(topic, ()), next_offset=1)
 
-    async def read(self, topic, start, wait_s):
+    async def read(self, topic, start, wait_s, **_):
         if start not in self.later:
             raise StoreUnavailableError("503")
         return RecordBatch(records=self.later[start], next_offset=2)
@@ -178,7 +178,7 @@
         await deferLater(self.reactor, self.ANSWER_S)
         return await super().read_latest(topic)
 
-    async def read(self, topic, start, wait_s):
+    async def read(self, topic, start, wait_s, **_):
         await deferLater(self.reactor, self.ANSWER_S + wait_s)
         return RecordBatch(records=(), next_offset=start)
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -15,9 +15,11 @@
     StoreUnavailableError,
 )
 from fulmarrudder.platform.store import (
+    BODY_TIMEOUT_S,
     CALL_TIMEOUT_S,
     LENGTH_PREFIX,
     READ_HEADER,
+    READ_TIMEOUT_SLACK_S,
     KeyedRecord,
     StoreClient,
 )
@@ -237,3 +239,64 @@
         page = {"items": [item], "hasMore": more, "endOffset": end}
         harness.answer(json.dumps(page).encode())
     assert result_of(reading).next_offset == 5
+
+
+def test_end_of_a_topic_is_read_without_its_records(harness):
+    reading = harness.call(harness.store.read_end("t"))
+    page = {"items": [], "hasMore": False, "endOffset": 5}
+    harness.answer(json.dumps(page).encode())
+    assert result_of(reading) == 5
+
+
+@pytest.mark.parametrize("page", [{}, {"endOffset": None}, {"endOffset": "5"}])
+def test_page_without_an_end_is_refused(harness, page):
+    reading = harness.call(harness.store.read_end("t"))
+    harness.answer(json.dumps(page).encode())
+    with pytest.raises(StoreRejectedError):
+        result_of(reading)
+
+
+# Reads of a large configuration on a slow link were given up while it arrived,
+# and begun again.
+def test_response_that_has_begun_to_arrive_is_awaited(harness):
+    heads = []
+    reading = harness.call(
+        harness.store.read("t", 7, 0.0, on_head=lambda: heads.append(1))
+    )
+    body = READ_HEADER.pack(8, 0) + record(b"config", b"{}")
+    exchange = harness.pool.made[-1].exchange
+    exchange.receive(
+        ResponseHead(
+            status=200,
+            reason=b"",
+            headers=Headers(),
+            framing=Framing.LENGTH,
+            length=len(body),
+        )
+    )
+    exchange.deliver_head()
+    exchange.receive(BodyPart(body[:9]))
+    assert heads
+    harness.clock.advance(READ_TIMEOUT_SLACK_S + 1.0)
+    exchange.receive(BodyPart(body[9:]))
+    exchange.receive(BodyEnd())
+    assert result_of(reading).next_offset == 8
+
+
+def test_response_that_never_ends_is_given_up(harness):
+    reading = harness.call(harness.store.read("t", 7, 0.0))
+    exchange = harness.pool.made[-1].exchange
+    exchange.receive(
+        ResponseHead(
+            status=200,
+            reason=b"",
+            headers=Headers(),
+            framing=Framing.LENGTH,
+            length=99,
+        )
+    )
+    exchange.deliver_head()
+    exchange.receive(BodyPart(b"x"))
+    harness.clock.advance(BODY_TIMEOUT_S + 0.1)
+    with pytest.raises(StoreUnavailableError):
+        result_of(reading)
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -9,6 +9,7 @@
 from fulmarrudder.platform.errors import ExpiredError, StoreUnavailableError
 from fulmarrudder.platform.store import (
     CALL_TIMEOUT_S,
+    END_TIMEOUT_S,
     READ_TIMEOUT_SLACK_S,
     KeyedRecord,
     RecordBatch,
@@ -43,7 +44,7 @@
     async def read_latest(self, topic, **_):
         return await self._wait(None)
 
-    async def read(self, topic, start, wait_s):
+    async def read(self, topic, start, wait_s, **_):
         return await self._wait(start)
 
     def _wait(self, start):
@@ -68,7 +69,13 @@
     async def read_latest(self, topic, **_):
         return RecordBatch(records=(), next_offset=1)
 
-    async def read(self, topic, start, wait_s):
+    async def read_end(self, topic):
+        if self.is_cut:
+            await deferLater(self.clock, END_TIMEOUT_S)
+            raise StoreUnavailableError("TimeoutError")
+        return self.end
+
+    async def read(self, topic, start, wait_s, **_):
         is_lost = self.is_cut
         if start == self.end:
             await deferLater(self.clock, wait_s)
@@ -99,7 +106,10 @@
         await self._transfer(size, timeout_s)
         return RecordBatch(records=records, next_offset=end)
 
-    async def read(self, topic, start, wait_s):
+    async def read_end(self, topic):
+        return len(self.written_at)
+
+    async def read(self, topic, start, wait_s, **_):
         deadline = self.clock.seconds() + wait_s
         while start == len(self.written_at) and self.clock.seconds() < deadline:
             await deferLater(self.clock, 0.01)
