A version that reads miss is told by a node that reads often

Cause: a read that begins while a record is appended is not woken for its 5 s. Each node paused 0.4 s after a version and read again, all within milliseconds, so that a version right behind another could meet the reads of all nodes: then nobody had anything to tell. Where a gateway had it, its neighbours waited 1 s for the store, up to 0.25 s for a tick, and a gateway that had itself been late passed that on to its neighbours. Class: several waits in a row, each below the bound, and ways that fail together.

Now one node of each data centre (its first gateway) and any node that no gateway would tell ends its reads after 0.6 to 1.0 s; a node that is told of a version it lacks reads again after 0.1 s, unless records are arriving; waits and pauses are drawn at random. 1.0 + 0.1 s and two reads are below the 2.0 s.

--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -248,6 +248,16 @@
         if self.node in self.topology.gateways:
             self.documents.tell_version()
 
+    def relies_on_own_reads(self) -> bool:
+        """Returns whether nobody may tell this node of a version it misses.
+
+        Gateways tell their neighbours. One node of each data centre, its first
+        gateway, waits for no other.
+        """
+        if self.node in self.topology.local_gateways[:1]:
+            return True
+        return self.topology.gateways.isdisjoint(self.links)
+
     def stop(self) -> None:
         """Sends what waits and closes all links; opens no more links."""
         self.collector.flush()
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -44,7 +44,7 @@
 from fulmarrudder.node.gauges import call_gauges
 from fulmarrudder.node.move_executor import ControllerLease, MoveExecutor
 from fulmarrudder.node.presence import PresenceBroadcaster
-from fulmarrudder.node.supervisor import Supervisor
+from fulmarrudder.node.supervisor import Supervisor, ignore
 from fulmarrudder.observe import EventLog, Metrics, Sample, Spans, logs
 from fulmarrudder.state_machine import OPEN_PHASES, CurrentVersion, Move, State
 
@@ -127,6 +127,7 @@
         record_status: Callable[[Move], Deferred],
         read_status: Callable[[Move], Deferred],
         on_document: Callable[[Document], None],
+        on_version_told: Callable[[int], None] = ignore,
     ):
         """Builds a node.
 
@@ -143,12 +144,15 @@
             read_status: Reads the recorded phase of a move; see
                 `MoveExecutor`.
             on_document: Applies a document received from another node.
+            on_version_told: Called with a version that a neighbour has and
+                this node lacks.
         """
         self.settings = settings
         self.clock = reactor
         self.rng = rng
         self.incarnation = incarnation
         self.lease = lease
+        self.on_version_told = on_version_told
         self.wall_offset_s = wall_seconds() - reactor.seconds()
         self.metrics = Metrics()
         self.supervisor = Supervisor(reactor, self.metrics, rng)
@@ -486,6 +490,7 @@
             peer=peer,
             active_version=self.version,
         )
+        self.on_version_told(version)
 
     def _on_new_fact(self, fact: Fact) -> None:
         if isinstance(fact, Evidence):
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -1,5 +1,6 @@
 """Daemon that runs a node on the platform."""
 
+import functools
 import gc
 import os
 import pathlib
@@ -35,6 +36,7 @@
     OPERATOR_TOPIC,
     OperatorRecords,
 )
+from fulmarrudder.platform.refresher import Refresher
 from fulmarrudder.platform.settings import (
     MachineSettings,
     load_machine_settings,
@@ -108,6 +110,9 @@
                 self.operator_records.read_status(move)
             ),
             on_document=self.operator_records.apply_document,
+            on_version_told=lambda version: self.refresher.version_told(
+                version
+            ),
         )
         self.supervisor = self.node.supervisor
         self.store = StoreClient(
@@ -131,6 +136,13 @@
                 "operator-records", self.operator_records.apply_record
             ),
             on_answer=self.node.confirm_version,
+            relies_on_own_reads=self.node.gossip.relies_on_own_reads,
+        )
+        self.refresher = Refresher(
+            clock=reactor,
+            tail=self.tail,
+            active_version=lambda: self.node.version,
+            run=functools.partial(self.supervisor.run_once, "refresh"),
         )
 
     def start(self) -> None:
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -13,14 +13,24 @@
     StoreError,
     StoreUnavailableError,
 )
-from fulmarrudder.platform.store import KeyedRecord, StoreClient
+from fulmarrudder.platform.store import (
+    KeyedRecord,
+    RecordBatch,
+    StoreClient,
+)
 
 # How long a read waits for a record. A longer wait would delay the detection of
 # a store that does not answer; a waiting read costs the store almost nothing.
 LONG_POLL_S = 5.0
-# Pause after a read that returned records, so that records written in quick
-# succession are read together.
+# The same where no other node tells of a version. A read that begins while a
+# record is appended may wait for all of it, and versions are due within 2 s.
+SHORT_POLL_S = 1.0
+# Longest pause after a read that returned records, so that records written in
+# quick succession are read together.
 BATCH_PAUSE_S = 0.4
+# Waits and pauses are drawn from this fraction of their limit up to the limit,
+# so that the reads of all nodes do not begin at the same moment.
+MIN_WAIT_FRACTION = 0.6
 RETRY_BASE_DELAY_S = 0.1
 RETRY_MAX_DELAY_S = 1.0
 
@@ -32,11 +42,14 @@
         topic: Name of the topic.
         on_record: Called with each record.
         on_answer: Called after the records of an answer were passed on.
+        relies_on_own_reads: Returns whether no other node would tell of
+            records that are missed.
         next_offset: Offset of the next record; -1 to read the latest record of
             each key first.
         offsets: Offset of the latest record passed on, by key.
         available: Whether the store answered the latest call.
         received_records: Whether the latest answer contained records.
+        receiving: Whether records are arriving.
         lags: Whether records were replaced by later ones before they were
             read, so that only the latest ones are read next.
     """
@@ -50,16 +63,20 @@
         topic: str,
         on_record: Callable[[KeyedRecord], None],
         on_answer: Callable[[], None],
+        relies_on_own_reads: Callable[[], bool],
     ):
         self.store = store
         self.clock = clock
         self.topic = topic
         self.on_record = on_record
         self.on_answer = on_answer
+        self.relies_on_own_reads = relies_on_own_reads
+        self.rng = rng
         self.next_offset = -1
         self.offsets: dict[str, int] = {}
         self.available = False
         self.received_records = False
+        self.receiving = False
         self.lags = False
         self.backoff = Backoff(
             base_delay_s=RETRY_BASE_DELAY_S,
@@ -82,7 +99,7 @@
             else:
                 self._mark_available()
                 if self.received_records:
-                    await deferLater(self.clock, BATCH_PAUSE_S)
+                    await deferLater(self.clock, self._draw(BATCH_PAUSE_S))
 
     async def catch_up(self) -> None:
         """Reads all records that were written before the call.
@@ -93,12 +110,23 @@
         while await self._read_batch(wait_s=0.0):
             continue
 
+    async def refresh(self) -> None:
+        """Reads the next records beside a read that waits for them.
+
+        Raises:
+            StoreError: The store is unavailable or rejects the call.
+        """
+        await self._read_batch(wait_s=0.0)
+
     async def _read_once(self) -> None:
         self.received_records = False
         if not self.available and self.next_offset >= 0:
             await self._read_missed()
             return
-        self.received_records = await self._read_batch(LONG_POLL_S)
+        limit_s = LONG_POLL_S
+        if self.relies_on_own_reads():
+            limit_s = SHORT_POLL_S
+        self.received_records = await self._read_batch(self._draw(limit_s))
 
     async def _read_missed(self) -> None:
         """Reads what was written while the store did not answer.
@@ -112,6 +140,9 @@
         self.lags = missed > 1
         self.received_records = await self._read_batch(wait_s=0.0)
 
+    def _draw(self, limit_s: float) -> float:
+        return self.rng.uniform(MIN_WAIT_FRACTION * limit_s, limit_s)
+
     async def _read_batch(self, wait_s: float) -> bool:
         """Passes on the records that follow; returns whether there were any."""
         if self.next_offset < 0:
@@ -122,7 +153,7 @@
                 self.topic, timeout_s=LONG_POLL_S
             )
         else:
-            batch = await self.store.read(self.topic, self.next_offset, wait_s)
+            batch = await self._read_from(self.next_offset, wait_s)
         # Skip records that a later record of the same key replaces.
         latest = {record.key: record for record in batch.records}
         passed = 0
@@ -140,6 +171,17 @@
         self.on_answer()
         return bool(batch.records)
 
+    async def _read_from(self, start: int, wait_s: float) -> RecordBatch:
+        try:
+            return await self.store.read(
+                self.topic, start, wait_s, on_head=self._mark_receiving
+            )
+        finally:
+            self.receiving = False
+
+    def _mark_receiving(self) -> None:
+        self.receiving = True
+
     def _mark_unavailable(self, error: StoreError) -> None:
         if self.available or not self.backoff.failures:
             reason = (
--- a/tests/node/test_verdict_faults.py
+++ b/tests/node/test_verdict_faults.py
@@ -271,6 +271,7 @@
             topic=OPERATOR_TOPIC,
             on_record=self.records.apply_record,
             on_answer=self.node.confirm_version,
+            relies_on_own_reads=lambda: False,
         )
         self.renewal = None
         self.reading = None
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -136,6 +136,7 @@
         topic="keyed.op",
         on_record=passed.append,
         on_answer=lambda: None,
+        relies_on_own_reads=lambda: False,
     )
     ensureDeferred(tail.run())
     return tail, passed
