A node to which the store sends versions asks its neighbours for no copies

The configuration has 820 routes. lj-d-17 received by turns from the store and from a neighbour, each copy 1.2 to 3.1 s on its 10 Mbit/s, at times both at once: 53 told at 27.26, 48 in force at 27.51, 56 at 30.62, 63 0.06 s later by the other way. Cause: a neighbour was asked 1 s after the first version that this node lacked, however many had come since, and while one was arriving. Class: a second way that takes the room of the first.

Now neighbours are asked only when the active version has not changed for 1 s and the store is sending none. Two tests in test_documents.py failed before.

--- a/src/fulmarrudder/distribution/document_exchange.py
+++ b/src/fulmarrudder/distribution/document_exchange.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 import random
 from collections.abc import Callable
 
@@ -56,7 +57,10 @@
         on_document: Called with a document from another node.
         on_version_told: Called with each version that a neighbour tells of
             and that is newer than the active one, and the neighbour.
+        is_receiving: Returns whether a version is arriving from the store.
         offers: Offers of neighbours by link.
+        advanced_version: Active version when it was last looked at.
+        advanced_at: Clock seconds at which it was first seen.
         received: Newest version that was received; this node may have refused
             it.
         source: Link on which a document was requested and has not arrived
@@ -81,6 +85,7 @@
         current_document: Callable[[], Document | None],
         on_document: Callable[[Document], None],
         on_version_told: Callable[[int, str], None] = ignore,
+        is_receiving: Callable[[], bool] = bool,
     ):
         self.clock = clock
         self.rng = rng
@@ -88,7 +93,10 @@
         self.current_document = current_document
         self.on_document = on_document
         self.on_version_told = on_version_told
+        self.is_receiving = is_receiving
         self.offers: dict[Link, Offer] = {}
+        self.advanced_version = 0
+        self.advanced_at = -math.inf
         self.received = 0
         self.source: Link | None = None
         self.silence_deadline = 0.0
@@ -126,9 +134,15 @@
             neighbour.send(UpToDate(offset=self._known_version, digest=""))
 
     def request_newer(self) -> None:
-        """Requests a document that did not arrive from the store in time."""
+        """Requests a document that did not arrive from the store in time.
+
+        Does nothing while the store sends versions: a copy of a large one would
+        delay it on a slow link.
+        """
         self.end_unanswered()
         now = self.clock.seconds()
+        if self.is_receiving() or now < self._advanced_at(now) + STORE_GRACE_S:
+            return
         self._request_from(
             tuple(
                 link
@@ -251,6 +265,15 @@
             offer, version=version, due_at=due_at
         )
 
+    def _advanced_at(self, now: float) -> float:
+        """Returns when the active version last changed, in clock seconds."""
+        if self.version != self.advanced_version:
+            # The first version tells nothing of how fast the store is.
+            if self.advanced_version:
+                self.advanced_at = now
+            self.advanced_version = self.version
+        return self.advanced_at
+
     def _report_told(self, link: Link, version: int) -> None:
         if version > self.version:
             self.on_version_told(version, link.node)
--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -133,6 +133,7 @@
         on_document: Callable[[Document], None],
         on_new_fact: Callable[[Fact], None],
         on_version_told: Callable[[int, str], None] = ignore,
+        is_receiving: Callable[[], bool] = bool,
         evidence_readers: Callable[[], frozenset[str]] = frozenset,
     ):
         self.clock = clock
@@ -176,6 +177,7 @@
             current_document=current_document,
             on_document=on_document,
             on_version_told=on_version_told,
+            is_receiving=is_receiving,
         )
         # An exception at one neighbour does not keep others from the rest.
         self.dial_guarded = dialer.guard("gossip", self._dial_if_due, ignore)
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -128,6 +128,7 @@
         read_status: Callable[[Move], Deferred],
         on_document: Callable[[Document], None],
         on_version_told: Callable[[int], None] = ignore,
+        is_receiving: Callable[[], bool] = bool,
     ):
         """Builds a node.
 
@@ -146,6 +147,8 @@
             on_document: Applies a document received from another node.
             on_version_told: Called with a version that a neighbour has and
                 this node lacks.
+            is_receiving: Returns whether a version is arriving from its
+                source.
         """
         self.settings = settings
         self.clock = reactor
@@ -204,6 +207,7 @@
             on_document=on_document,
             on_new_fact=guard("facts", self._on_new_fact),
             on_version_told=self._record_told,
+            is_receiving=is_receiving,
             evidence_readers=self.controller_candidates,
         )
         self.host = HostPipeline(
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -113,6 +113,7 @@
             on_version_told=lambda version: self.refresher.version_told(
                 version
             ),
+            is_receiving=lambda: self.tail.receiving,
         )
         self.supervisor = self.node.supervisor
         self.store = StoreClient(
--- a/tests/distribution/test_documents.py
+++ b/tests/distribution/test_documents.py
@@ -125,6 +125,34 @@
     assert version_of(net) > 3
 
 
+# A node on a full link that received one version after another from the store
+# received copies of them from its neighbours as well, and all came late.
+@pytest.mark.parametrize("period_s", [0.3, 0.45])
+def test_a_node_that_advances_asks_for_no_copies(period_s):
+    net = fleet_with_documents(4, without=())
+    for version in range(4, 30):
+        for name in net.nodes:
+            if name != ASKER:
+                activate(net, name, version)
+        activate(net, ASKER, version - 2)
+        net.run(period_s)
+    assert not net.documents
+
+
+def test_a_node_whose_version_is_arriving_asks_for_no_copy():
+    net = fleet_with_documents(4, without=())
+    exchange = net.nodes[ASKER].mesh.documents
+    exchange.is_receiving = lambda: True
+    for name in net.nodes:
+        if name != ASKER:
+            activate(net, name, 4)
+    net.run(2 * CONFIG_APPLY_S)
+    assert not net.documents
+    exchange.is_receiving = lambda: False
+    net.run(CONFIG_APPLY_S)
+    assert version_of(net) == 4
+
+
 # Guards against copies of the document for nodes that are about to read it.
 def test_a_version_that_arrives_from_the_store_is_asked_of_nobody():
     net = fleet_with_documents(20, without=())
