Bodies under way to a node fit into 0.15 s of its link

Evidence: in each copy of a version of some 110 KB took 1.2 to 3.1 s on this node's link of 10 Mbit/s, and what neighbours told came 0.3 to 1 s late. It is the only node of vaje in its data centre: by the site's rates some 18 uploads of 60 KB a second, 8.9 Mbit/s, are sent to it, all that were queued at once (Expect: 100-continue was answered as soon as a request was queued). Class: a shared resource without a limit on what less urgent work takes of it.

Now a host node asks for further bodies only while those under way fit into 0.15 s of its link; one that does not end keeps its room for 0.5 s. Uploads that arrive on the node's own call port are not limited: their callers do not wait to be asked.

--- a/src/fulmarrudder/call/body.py
+++ b/src/fulmarrudder/call/body.py
@@ -5,6 +5,7 @@
 discarded and the body cannot be replayed.
 """
 
+from collections.abc import Callable
 from typing import Protocol
 
 from twisted.internet.defer import Deferred, succeed
@@ -40,9 +41,11 @@
         replay_buffer: The buffered parts.
         prefix_size: Number of bytes that `prefix_ready` waits for.
         prefix_ready: Deferred of the first bytes, or None.
+        on_end: Called once no more of the body will arrive, or None.
     """
 
     __slots__ = (
+        "on_end",
         "ended",
         "replay_buffer",
         "lost",
@@ -72,6 +75,7 @@
         self.paused = False
         self.prefix_size = 0
         self.prefix_ready: Deferred | None = None
+        self.on_end: Callable[[], None] | None = None
 
     def receive_part(self, data: bytes) -> None:
         """Receives a part from the connection."""
@@ -95,6 +99,7 @@
         if self.sink is not None:
             self.sink.write_end()
         self._resolve_prefix()
+        self._report_end()
 
     def receive_abort(self) -> None:
         """Handles the loss of the connection before the end."""
@@ -106,6 +111,7 @@
         prefix_ready, self.prefix_ready = self.prefix_ready, None
         if prefix_ready is not None:
             prefix_ready.cancel()
+        self._report_end()
 
     def wait_for_prefix(self, size: int) -> Deferred:
         """Waits for the first bytes.
@@ -155,6 +161,11 @@
         """Stops streaming to the sink."""
         self.sink = None
 
+    def _report_end(self) -> None:
+        on_end, self.on_end = self.on_end, None
+        if on_end is not None:
+            on_end()
+
     def _trim_replay_buffer(self) -> None:
         if self.received_bytes > MAX_REPLAY_BYTES:
             self.replayable = False
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import functools
+import math
 import random
 
 from twisted.internet.defer import (
@@ -45,6 +46,7 @@
     target_fields,
 )
 from fulmarrudder.call.host_report import HostReport
+from fulmarrudder.call.intake import Intake
 from fulmarrudder.call.message import (
     Ran,
     Refusal,
@@ -131,6 +133,7 @@
         broadcast: Sends a fact to all other nodes.
         report: Reports decisions as events.
         retry_budgets: Retry budgets of this node.
+        intake: Limits the bodies that other nodes send at once.
     """
 
     def __init__(
@@ -145,6 +148,7 @@
         broadcast,
         header_names: HeaderNames = DEFAULT_HEADER_NAMES,
         events: EventLog | None = None,
+        link_bytes_per_s: float = math.inf,
     ):
         self.header_names = header_names
         self.clock = clock
@@ -160,6 +164,7 @@
         self.leaving = False
         self.in_flight = 0
         self.retry_budgets = RetryBudgets()
+        self.intake = Intake(clock, link_bytes_per_s)
         self.warmup = WarmupTracker()
         self.report = HostReport(
             clock=clock,
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -132,7 +132,11 @@
             return refusal_answer(request, to_node=True)
         self.route = request.route
         host = self.factory.host
-        answer = await host.serve(request, self.body, self.send_continue)
+        permit = host.intake.permit(self.head, self.body, self.send_continue)
+        try:
+            answer = await host.serve(request, self.body, permit.request)
+        finally:
+            permit.release()
         if answer.refusal is not None:
             host.report.refused(request, answer.refusal)
         return answer
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import enum
+import math
 import random
 from collections.abc import Callable
 
@@ -80,6 +81,7 @@
         mesh_address: host:port at which other nodes open links.
         retry_ratio: Retries per request that the whole fleet may make.
         retry_slack: Retries that the fleet may make beyond that ratio.
+        link_bytes_per_s: Speed of the instance's network link.
     """
 
     node: str
@@ -89,6 +91,7 @@
     mesh_address: str
     retry_ratio: float
     retry_slack: float
+    link_bytes_per_s: float = math.inf
 
 
 class VersionSource(enum.Enum):
@@ -220,6 +223,7 @@
             broadcast=self.gossip.broadcast,
             header_names=header_names,
             events=self.events,
+            link_bytes_per_s=settings.link_bytes_per_s,
         )
         self.entry = EntryPipeline(
             clock=reactor,
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -311,6 +311,7 @@
         mesh_address=settings.mesh_address,
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
+        link_bytes_per_s=settings.link_bytes_per_s,
     )
 
 
--- a/src/fulmarrudder/platform/settings.py
+++ b/src/fulmarrudder/platform/settings.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import math
 import pathlib
 
 import pydantic
@@ -19,6 +20,7 @@
 # Positions in `portRange` of the ports that this program listens on.
 MESH_PORT_INDEX = 0
 METRICS_PORT_INDEX = 1
+BYTES_PER_MEGABIT = 125_000
 
 
 class _Listen(PlatformModel):
@@ -35,6 +37,10 @@
     retry_slack: float = pydantic.Field(50.0, alias="budgetSlack")
 
 
+class _Limits(PlatformModel):
+    link_mbps: float = pydantic.Field(math.inf, alias="linkMbps", gt=0)
+
+
 class _StoreSettings(PlatformModel):
     address: Address
 
@@ -48,6 +54,7 @@
     target_address: Address = pydantic.Field(alias="appAddr")
     service: Name
     bounds: _Bounds
+    limits: _Limits = _Limits()
     store: _StoreSettings = pydantic.Field(alias="platform")
     log_level: str = "info"
 
@@ -75,6 +82,8 @@
         retry_ratio: Retry budget of all nodes together, as a ratio of retries
             to requests.
         retry_slack: Retries that they may make beyond the ratio.
+        link_bytes_per_s: Speed of the instance's network link; infinite when
+            it is not known.
         log_level: Lowest level of the lines that are logged.
     """
 
@@ -93,6 +102,7 @@
     grace_period_s: float
     retry_ratio: float
     retry_slack: float
+    link_bytes_per_s: float
     log_level: str
 
 
@@ -129,6 +139,7 @@
             grace_period_s=model.bounds.grace / 1000,
             retry_ratio=model.bounds.retry_ratio,
             retry_slack=model.bounds.retry_slack,
+            link_bytes_per_s=model.limits.link_mbps * BYTES_PER_MEGABIT,
             log_level=model.log_level,
         )
     )
