A target gets the requests a second that it names

Cause: first hypothesis, nothing read the field. Class: a sign of overload from the one who knows it best was not part of admission, which counts slots only.

Everything that reaches a target passes the node beside it, so the limit is kept there, and no node needs to know what others send: a bucket of tokens, filled at the named rate, with a quarter of a second saved up, is asked before a slot is granted. Who is let in stays the queue's choice (rank, then what can still be prompt), who would be too late is refused at once with the bucket's wait as Retry-After. The node offers as many slots as the rate keeps busy (rate x service time), so that others send elsewhere. A limit ends with the first answer that names none, or with the incarnation; at zero one request in 2 s goes on, or nobody would learn of its end.

--- a/src/fulmarrudder/call/header_names.py
+++ b/src/fulmarrudder/call/header_names.py
@@ -34,6 +34,8 @@
             produced itself.
         not_run: From targets: the request was refused, not executed.
         load: From targets: running, queued and slots, separated by commas.
+        requests_per_s: From targets in need: requests a second that the target
+            takes from all nodes together.
     """
 
     caller_timeout: bytes = TIMEOUT_HEADER
@@ -44,6 +46,7 @@
     response_seal: bytes = b""
     not_run: bytes = b""
     load: bytes = b""
+    requests_per_s: bytes = b""
 
 
 DEFAULT_HEADER_NAMES = HeaderNames()
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -19,6 +19,11 @@
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
+from fulmarrudder.call.advice import (
+    NO_ADVICE,
+    TargetAdvice,
+    parse_advice,
+)
 from fulmarrudder.call.answer import Answer, BufferedAnswer, refusal_answer
 from fulmarrudder.call.body import RequestBody
 from fulmarrudder.call.buffering import body_of, buffer_answer
@@ -75,6 +80,8 @@
 # for this long: the kernel needs some milliseconds to remove a dead process,
 # and accepts connections for it until then.
 PROBE_S = 0.1
+# Validities of answers that the target wrote to the request.
+TOLD_BY_TARGET = frozenset({AnswerValidity.VALID, AnswerValidity.NOT_RUN})
 NO_TIME_LEFT = not_run(RefusalReason.DEADLINE, "no time left", 504)
 
 
@@ -134,6 +141,8 @@
         report: Reports decisions as events.
         retry_budgets: Retry budgets of this node.
         intake: Limits the bodies that other nodes send at once.
+        advice: What the target told of itself last.
+        advised_incarnation: Incarnation of the target that told it.
     """
 
     def __init__(
@@ -164,6 +173,8 @@
         self.leaving = False
         self.in_flight = 0
         self.retry_budgets = RetryBudgets()
+        self.advice = NO_ADVICE
+        self.advised_incarnation = 0
         self.intake = Intake(clock, link_bytes_per_s)
         self.warmup = WarmupTracker()
         self.report = HostReport(
@@ -183,6 +194,8 @@
         latest = self.local_target.latest
         if latest is not None:
             self.slots.resize(min(latest.slots, latest.connections))
+            if latest.incarnation != self.advised_incarnation:
+                self._apply(NO_ADVICE)
 
     async def serve(
         self, request: HostRequest, body: RequestBody, send_continue
@@ -332,6 +345,8 @@
             return _refusal_to_node(reply)
         head, exchange = reply.head, reply.exchange
         validity = check_answer(head, request.head, self.header_names)
+        if validity in TOLD_BY_TARGET:
+            self._heed(parse_advice(head, self.header_names), target)
         if validity is not AnswerValidity.VALID:
             refusal = self._refuse_invalid_answer(
                 request, target, validity, reply, started_at
@@ -349,6 +364,31 @@
         )
         return UpstreamAnswer(sanitize_response(head), exchange)
 
+    def _heed(self, advice: TargetAdvice, target: Announcement) -> None:
+        """Applies what an answer told of the target.
+
+        Args:
+            advice: What it told.
+            target: The target that answered, as announced when it was asked.
+        """
+        latest = self.local_target.latest
+        if (latest.id, latest.incarnation) != (target.id, target.incarnation):
+            return
+        self.advised_incarnation = target.incarnation
+        self._apply(advice)
+
+    def _apply(self, advice: TargetAdvice) -> None:
+        before, self.advice = self.advice, advice
+        per_s = advice.requests_per_s
+        if per_s == before.requests_per_s:
+            return
+        self.report.target_limited(per_s, before.requests_per_s)
+        self.slots.limit_rate(per_s)
+        # By Little's law: others then send here what fits.
+        self.local_target.slot_limit = max(
+            1.0, per_s * self.slots.service_time_s
+        )
+
     async def _connect(
         self, request: HostRequest, target: Announcement
     ) -> Connection | Refusal:
--- a/src/fulmarrudder/call/host_report.py
+++ b/src/fulmarrudder/call/host_report.py
@@ -110,6 +110,24 @@
             **fields,
         )
 
+    def target_limited(self, per_s: float, before_per_s: float) -> None:
+        """Reports a change of the limit that the target named.
+
+        Args:
+            per_s: Requests a second; infinite for no limit.
+            before_per_s: The limit before.
+        """
+        now = self.clock.seconds()
+        if not self.events.allow(now, "target-limited"):
+            return
+        self.events.write(
+            "target-limited",
+            per_s=per_s,
+            before_per_s=before_per_s,
+            taken=self.slots.taken,
+            queued=self.slots.queued,
+        )
+
     def _load_fields(self, request, now: float) -> dict:
         slots = self.slots
         fields = {
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred, fail, succeed
 
 from fulmarrudder.call.errors import SlotError
+from fulmarrudder.call.rate import RateLimit
 from fulmarrudder.clock import Clock
 
 MAX_QUEUE_PER_SLOT = 4
@@ -42,6 +43,8 @@
 MIN_TIME_FACTOR = 0.6
 # Lower bound of the retry-after time that a refused caller gets.
 MIN_RETRY_AFTER_S = 0.02
+# Rounding may leave a fraction of a token to wait for.
+MIN_RATE_DELAY_S = 0.001
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -100,6 +103,8 @@
         service_time_s: Moving average of the seconds that a request holds its
             slot.
         service_time_by_route: The same, by route.
+        rate: Limit on the requests a second that are granted slots.
+        rate_timer: Grants slots once the rate allows it, or None.
         is_granting: Whether free slots are being granted to queued requests.
     """
 
@@ -112,6 +117,8 @@
         self.service_time_by_route: dict[str, float] = {}
         self.heap: list[tuple[int, bool, float, int, _Waiter]] = []
         self.sequence = itertools.count()
+        self.rate = RateLimit()
+        self.rate_timer = None
         self.is_granting = False
 
     def resize(self, capacity: int) -> None:
@@ -119,14 +126,25 @@
         self.capacity = capacity
         self._grant()
 
+    def limit_rate(self, requests_per_s: float) -> None:
+        """Sets the requests a second that are granted slots.
+
+        Args:
+            requests_per_s: The limit; infinite for none.
+        """
+        self.rate.set(requests_per_s, self.clock.seconds())
+        self._grant()
+
     def expected_wait(self, rank: int) -> float:
         """Returns the seconds that a request of a rank is expected to wait."""
         queued_ahead = sum(
             1 for e in self.heap if e[-1].is_waiting and e[0] <= rank
         )
-        excess = self.taken + queued_ahead + 1 - self.capacity
-        if excess <= 0:
-            return 0.0
+        rate_wait_s = self.rate.wait_s(self.clock.seconds(), queued_ahead)
+        return max(rate_wait_s, self._slot_wait(queued_ahead))
+
+    def _slot_wait(self, queued_ahead: int) -> float:
+        excess = max(0, self.taken + queued_ahead + 1 - self.capacity)
         return excess * self.service_time_s / max(1, self.capacity)
 
     def service_time(self, route: str) -> float:
@@ -135,9 +153,8 @@
 
     def retry_after(self) -> float:
         """Returns the seconds after which a slot is expected to be free."""
-        excess = self.taken + self.queued + 1 - self.capacity
-        wait_s = max(0, excess) * self.service_time_s / max(1, self.capacity)
-        return max(MIN_RETRY_AFTER_S, wait_s)
+        rate_wait_s = self.rate.wait_s(self.clock.seconds(), self.queued)
+        return max(MIN_RETRY_AFTER_S, rate_wait_s, self._slot_wait(self.queued))
 
     def acquire(
         self, deadline: float, request: SlotRequest | None = None
@@ -157,8 +174,9 @@
         if self.taken < self.capacity and not self.queued:
             if self._lacks_time(request):
                 return fail(SlotError("too little time is left"))
-            self.taken += 1
-            return succeed(None)
+            if self.rate.take(self.clock.seconds()):
+                self.taken += 1
+                return succeed(None)
         refusal = self._rejection_detail(request)
         if refusal:
             return fail(SlotError(refusal))
@@ -207,6 +225,7 @@
         waiter.timer = self.clock.callLater(left_s, self._expire, waiter)
         self._push(waiter, late=False)
         self.queued += 1
+        self._await_token()
         return waiter.granted
 
     def _push(self, waiter: _Waiter, *, late: bool) -> None:
@@ -260,10 +279,28 @@
             if not late and self._will_be_late(waiter.request):
                 self._requeue_as_late(waiter)
                 continue
+            if not self.rate.take(self.clock.seconds()):
+                self._push(waiter, late=late)
+                break
             self._dequeue(waiter)
             self.taken += 1
             waiter.granted.callback(None)
 
+        self._await_token()
+
+    def _await_token(self) -> None:
+        """Grants slots again once the rate allows it, if requests wait."""
+        if not self.queued or self.rate_timer is not None:
+            return
+        wait_s = self.rate.wait_s(self.clock.seconds())
+        if wait_s > 0 and self.taken < self.capacity:
+            delay_s = max(MIN_RATE_DELAY_S, wait_s)
+            self.rate_timer = self.clock.callLater(delay_s, self._rate_allows)
+
+    def _rate_allows(self) -> None:
+        self.rate_timer = None
+        self._grant()
+
     def _will_be_late(self, request: SlotRequest) -> bool:
         if not request.soft_deadline:
             return False
--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import math
 
 import pydantic
 from expression import Error, Ok, Result
@@ -89,6 +90,7 @@
         departed_id: Id of the target that left last without having been
             announced to this process, or empty.
         departed_incarnation: Latest incarnation of it that may have left.
+        slot_limit: Slots that the node offers to others at most.
     """
 
     def __init__(
@@ -104,6 +106,14 @@
         self.unreachable = False
         self.departed_id = ""
         self.departed_incarnation = 0
+        self.slot_limit = math.inf
+
+    @property
+    def offered_slots(self) -> int:
+        """Requests that the target serves at once; 0 while it is unknown."""
+        if self.latest is None:
+            return 0
+        return math.ceil(min(self.latest.slots, self.slot_limit))
 
     def depart(self, target: str, incarnation: int) -> None:
         """Records that a target leaves which may be announced only later.
--- a/src/fulmarrudder/node/presence.py
+++ b/src/fulmarrudder/node/presence.py
@@ -51,7 +51,7 @@
             service=latest.service if latest else "",
             target_version=latest.target_version if latest else "",
             condition=Condition.LEAVING if leaving else condition,
-            slots=latest.slots if latest else 0,
+            slots=self.local_target.offered_slots,
         )
         if presence == self.last_sent and not force:
             return False
--- a/src/fulmarrudder/platform/header_names.py
+++ b/src/fulmarrudder/platform/header_names.py
@@ -11,4 +11,5 @@
     response_seal=b"x-response-seal",
     not_run=b"x-not-executed",
     load=b"x-instance-load",
+    requests_per_s=b"server-limit",
 )
