A target that tells its leaving in an answer gets nothing more

Nothing read it: one whose announcement was late or lost was sent requests until it stopped.

The node beside it takes the first such answer as it takes an announcement of leaving: it refuses at once, also what is queued, tells the others, and no later announcement of the same incarnation undoes it. All that reaches a target passes this node, so that other nodes need to know only to send elsewhere. Answers of an earlier incarnation at the address tell nothing of the present one. The final sequence of a deregistration is now in one place, LocalTarget.leave, used by both.

Remains: a node that restarts has forgotten the answer. It hears of its target by an announcement first, which says draining; only a delayed earlier one would let a request through.

Shown by three tests in tests/call/test_limits.py; two failed before.

--- a/src/fulmarrudder/call/advice.py
+++ b/src/fulmarrudder/call/advice.py
@@ -6,6 +6,8 @@
 from fulmarrudder.call.header_names import HeaderNames
 from fulmarrudder.call.message import ResponseHead
 
+YES = b"1"
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TargetAdvice:
@@ -14,9 +16,11 @@
     Attributes:
         requests_per_s: Requests a second that the target takes from all nodes
             together; infinite without a limit.
+        is_leaving: Whether the target is about to stop.
     """
 
     requests_per_s: float = math.inf
+    is_leaving: bool = False
 
 
 NO_ADVICE = TargetAdvice()
@@ -29,12 +33,16 @@
         head: Head of a target's answer.
         header_names: Field names.
     """
-    limit = None
+    limit = leaving = None
     if header_names.requests_per_s:
         limit = head.headers.get(header_names.requests_per_s)
-    if limit is None:
+    if header_names.leaving:
+        leaving = head.headers.get(header_names.leaving)
+    if limit is None and leaving is None:
         return NO_ADVICE
-    return TargetAdvice(requests_per_s=_parse_rate(limit))
+    return TargetAdvice(
+        requests_per_s=_parse_rate(limit), is_leaving=leaving == YES
+    )
 
 
 def _parse_rate(value: bytes | None) -> float:
--- a/src/fulmarrudder/call/header_names.py
+++ b/src/fulmarrudder/call/header_names.py
@@ -36,6 +36,7 @@
         load: From targets: running, queued and slots, separated by commas.
         requests_per_s: From targets in need: requests a second that the target
             takes from all nodes together.
+        leaving: From targets: "1" if the target is about to stop.
     """
 
     caller_timeout: bytes = TIMEOUT_HEADER
@@ -47,6 +48,7 @@
     not_run: bytes = b""
     load: bytes = b""
     requests_per_s: bytes = b""
+    leaving: bytes = b""
 
 
 DEFAULT_HEADER_NAMES = HeaderNames()
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -9,6 +9,7 @@
 import functools
 import math
 import random
+from collections.abc import Callable
 
 from twisted.internet.defer import (
     CancelledError,
@@ -143,6 +144,7 @@
         intake: Limits the bodies that other nodes send at once.
         advice: What the target told of itself last.
         advised_incarnation: Incarnation of the target that told it.
+        on_target_leaving: Called when the target tells that it is leaving.
     """
 
     def __init__(
@@ -158,6 +160,7 @@
         header_names: HeaderNames = DEFAULT_HEADER_NAMES,
         events: EventLog | None = None,
         link_bytes_per_s: float = math.inf,
+        on_target_leaving: Callable[[], None] | None = None,
     ):
         self.header_names = header_names
         self.clock = clock
@@ -173,6 +176,7 @@
         self.leaving = False
         self.in_flight = 0
         self.retry_budgets = RetryBudgets()
+        self.on_target_leaving = on_target_leaving or local_target.leave
         self.advice = NO_ADVICE
         self.advised_incarnation = 0
         self.intake = Intake(clock, link_bytes_per_s)
@@ -375,6 +379,9 @@
         if (latest.id, latest.incarnation) != (target.id, target.incarnation):
             return
         self.advised_incarnation = target.incarnation
+        if advice.is_leaving and not self.advice.is_leaving:
+            logs.info("target-leaving", target=target.id)
+            self.on_target_leaving()
         self._apply(advice)
 
     def _apply(self, advice: TargetAdvice) -> None:
--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -17,6 +17,9 @@
 
 # Three intervals of a target that announces itself every second.
 ANNOUNCEMENT_TIMEOUT_S = 3.0
+# Sequence of what a leaving target told last: higher than that of any
+# announcement of the same incarnation, so that a delayed one does not undo it.
+FINAL_SEQUENCE = 1 << 60
 
 
 class AnnouncementModel(pydantic.BaseModel):
@@ -115,6 +118,21 @@
             return 0
         return math.ceil(min(self.latest.slots, self.slot_limit))
 
+    def leave(self) -> bool:
+        """Records that the target is leaving, whatever is announced later.
+
+        Returns:
+            Whether this was not known yet.
+        """
+        latest = self.latest
+        if latest is None or latest.sequence == FINAL_SEQUENCE:
+            return False
+        return self.update(
+            dataclasses.replace(
+                latest, condition=Condition.LEAVING, sequence=FINAL_SEQUENCE
+            )
+        )
+
     def depart(self, target: str, incarnation: int) -> None:
         """Records that a target leaves which may be announced only later.
 
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -224,6 +224,7 @@
             header_names=header_names,
             events=self.events,
             link_bytes_per_s=settings.link_bytes_per_s,
+            on_target_leaving=self.target_leaves,
         )
         self.entry = EntryPipeline(
             clock=reactor,
@@ -360,6 +361,12 @@
             self.host.apply_announcement()
             self.refresh_presence()
 
+    def target_leaves(self) -> None:
+        """Handles that the local target has told that it is leaving."""
+        if self.local_target.leave():
+            self.host.apply_announcement()
+            self.refresh_presence()
+
     def open_moves(self) -> tuple[Move, ...]:
         """Returns the moves that have no recorded result yet."""
         return tuple(m for m in self.state.moves if m.phase in OPEN_PHASES)
--- a/src/fulmarrudder/platform/header_names.py
+++ b/src/fulmarrudder/platform/header_names.py
@@ -12,4 +12,5 @@
     not_run=b"x-not-executed",
     load=b"x-instance-load",
     requests_per_s=b"server-limit",
+    leaving=b"server-leaving",
 )
--- a/src/fulmarrudder/platform/http.py
+++ b/src/fulmarrudder/platform/http.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from fulmarrudder.membership import Announcement
-from fulmarrudder.model import Condition
 from fulmarrudder.node.gossip_node import GossipNode
 from fulmarrudder.observe import logs
 from fulmarrudder.pages import Page, PageFactory
@@ -11,9 +10,6 @@
 
 MAX_BODY_BYTES = 65_536
 ACKNOWLEDGEMENT = b"{}"
-# Sequence of a deregistration: higher than that of any heartbeat of the same
-# incarnation, so that a delayed heartbeat does not undo it.
-DEREGISTRATION_SEQUENCE = 1 << 60
 
 
 class ReadinessResource(Page):
@@ -87,13 +83,7 @@
             now_ms = int(self.node.wall() * 1000)
             self.node.local_target.depart(target, now_ms)
             return ACKNOWLEDGEMENT
-        self.node.apply_announcement(
-            dataclasses.replace(
-                latest,
-                condition=Condition.LEAVING,
-                sequence=DEREGISTRATION_SEQUENCE,
-            )
-        )
+        self.node.target_leaves()
         return ACKNOWLEDGEMENT
 
     def _with_incarnation(self, announcement: Announcement) -> Announcement:
--- a/tests/call/test_limits.py
+++ b/tests/call/test_limits.py
@@ -1,4 +1,4 @@
-"""A target gets the requests a second that it names."""
+"""A target gets the requests a second that it names, and none once it leaves."""
 
 import collections
 import math
@@ -11,6 +11,7 @@
 from fulmarrudder.call.header_names import HeaderNames
 from fulmarrudder.call.message import BodyEnd, Framing, Headers, ResponseHead
 from fulmarrudder.call.rate import BURST_S, RateLimit
+from fulmarrudder.model import Condition
 from tests.call.test_host import Harness, refusal_in
 
 # The stated bounds: from 3 s after a limit was named, a target gets in each 4 s at
@@ -19,7 +20,7 @@
 LIMIT_WINDOW_S = 4.0
 LIMIT_RATIO = 1.5
 LIMIT_SLACK = 5
-NAMES = HeaderNames(requests_per_s=b"server-limit")
+NAMES = HeaderNames(requests_per_s=b"server-limit", leaving=b"server-leaving")
 STEP_S = 0.01
 
 
@@ -92,6 +93,9 @@
     return ((b"server-limit", value),)
 
 
+LEAVING = ((b"server-leaving", b"1"),)
+
+
 # Targets got twice the requests a second that they had named: nothing read it.
 @pytest.mark.parametrize("per_s", [14.5, 32.2, 43.2, 51.3])
 @pytest.mark.parametrize("seed", range(3))
@@ -163,6 +167,41 @@
     assert refusal.retry_after_s > 0.0
 
 
+# A target that announced its leaving in its answers only was sent requests until it
+# stopped.
+def test_target_that_tells_its_leaving_gets_nothing_more():
+    target = LimitedTarget()
+    target.advice = LEAVING
+    target.run_load(0.5, 50.0, random.Random(1))
+    arrived = len(target.arrivals)
+    assert target.local_target.condition is Condition.LEAVING
+    _, found = target.send_request()
+    assert refusal_in(found).reason.value == "leaving"
+    target.run_load(10.0, 50.0, random.Random(1))
+    assert len(target.arrivals) == arrived
+
+
+def test_later_announcement_does_not_undo_that_a_target_leaves():
+    target = LimitedTarget()
+    target.advice = LEAVING
+    target.run_load(0.2, 50.0, random.Random(1))
+    target.announce(Condition.READY)
+    assert target.local_target.condition is Condition.LEAVING
+    target.announce(Condition.READY, incarnation=2)
+    assert target.local_target.condition is Condition.READY
+
+
+def test_answer_of_an_earlier_target_tells_nothing_of_the_next_one():
+    target = LimitedTarget()
+    target.send()
+    target.announce(incarnation=2)
+    target.advice = (*LEAVING, *limit(b"1"))
+    for _ in range(10):
+        target.step()
+    assert target.local_target.condition is Condition.READY
+    assert not target.host.slots.rate.is_limited
+
+
 @pytest.mark.parametrize(
     ("fields", "advice"),
     [
@@ -174,6 +213,8 @@
         (limit(b"inf"), NO_ADVICE),
         (limit(b"many"), NO_ADVICE),
         (limit(b""), NO_ADVICE),
+        (LEAVING, TargetAdvice(is_leaving=True)),
+        (((b"server-leaving", b"0"),), NO_ADVICE),
     ],
 )
 def test_advice_of_an_answer(fields, advice):
