Entries with an address, a number or a nesting that cannot be are refused

A port of 65536 to 99999, or a host such as 999.0.0.1, was taken: a connection to it raises in a later turn of the reactor, so that the dial never ends, and the host is looked up by name in a thread. A duration of 400 digits was taken as infinite and raised where it became a whole number. A sequence above 2^60 hid every later announcement. A deeply nested page of the store, or settings, raised RecursionError, which no layer turned into its own: the read of versions then started afresh with up to 10 s between. A nested entry itself was refused already, and no process ended: each list is read under the supervisor.

Now there is one type for an address (address.py; it stood in three places), which is checked as a connection would; counts end at 2^53, durations at 30 days; what is read from the store is checked for its types.

--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -10,6 +10,7 @@
 import pydantic
 from expression import Error, Ok, Result
 
+from fulmarrudder.address import Address
 from fulmarrudder.clock import Clock
 from fulmarrudder.membership.errors import AnnouncementError
 from fulmarrudder.model import Condition
@@ -29,7 +30,7 @@
 
     service: str = pydantic.Field(min_length=1, max_length=128)
     target_version: str = pydantic.Field(min_length=1, max_length=128)
-    address: str = pydantic.Field(pattern=r"^[0-9.]+:\d{1,5}$")
+    address: Address
     incarnation: int = pydantic.Field(ge=0)
     sequence: int = pydantic.Field(ge=0)
     condition: Condition = Condition.READY
--- a/src/fulmarrudder/node/settings.py
+++ b/src/fulmarrudder/node/settings.py
@@ -8,10 +8,10 @@
 import pydantic
 from expression import Error, Ok, Result
 
+from fulmarrudder.address import Address
 from fulmarrudder.node.errors import SettingsError
 
 MIN_TOKEN_LENGTH = 16
-Address = Annotated[str, pydantic.Field(pattern=r"^[0-9.]+:[1-9]\d{0,4}$")]
 Name = Annotated[str, pydantic.Field(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]*$")]
 Token = Annotated[
     str, pydantic.Field(min_length=MIN_TOKEN_LENGTH, pattern=r"^[!-~]+$")
--- a/src/fulmarrudder/platform/directory.py
+++ b/src/fulmarrudder/platform/directory.py
@@ -2,10 +2,11 @@
 
 import pydantic
 
+from fulmarrudder.address import Address
 from fulmarrudder.distribution import Peer
 from fulmarrudder.observe import logs
 from fulmarrudder.platform.errors import StoreError
-from fulmarrudder.platform.field_types import Address, Name, PlatformModel
+from fulmarrudder.platform.field_types import Name, PlatformModel
 from fulmarrudder.platform.store import KeyedRecord, StoreClient
 
 TOPIC = "keyed.nodes"
--- a/src/fulmarrudder/platform/field_types.py
+++ b/src/fulmarrudder/platform/field_types.py
@@ -5,6 +5,9 @@
 
 import pydantic
 
+MAX_DURATION_MS = 30 * 24 * 3600 * 1000.0
+# Largest integer that every reader of JSON takes.
+MAX_COUNT = (1 << 53) - 1
 _DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s)$")
 _UNIT_MS = {"ms": 1.0, "s": 1000.0}
 _VERSION = re.compile(r"^[0-9a-f]{8}$")
@@ -14,7 +17,10 @@
     match = _DURATION.match(value) if isinstance(value, str) else None
     if match is None:
         raise ValueError("not a number followed by ms or s")
-    return float(match[1]) * _UNIT_MS[match[2]]
+    duration_ms = float(match[1]) * _UNIT_MS[match[2]]
+    if duration_ms > MAX_DURATION_MS:
+        raise ValueError("longer than 30 days")
+    return duration_ms
 
 
 def _parse_version(value: object) -> int:
@@ -27,7 +33,8 @@
 Milliseconds = Annotated[float, pydantic.BeforeValidator(_parse_duration)]
 # Version of a configuration: eight hexadecimal digits; parsed to an integer.
 Version = Annotated[int, pydantic.BeforeValidator(_parse_version)]
-Address = Annotated[str, pydantic.Field(pattern=r"^[0-9.]+:\d{1,5}$")]
+# A count or a time of day in milliseconds; larger numbers are mistakes.
+Count = Annotated[int, pydantic.Field(ge=0, le=MAX_COUNT)]
 Name = Annotated[str, pydantic.Field(min_length=1, max_length=256)]
 
 
--- a/src/fulmarrudder/platform/heartbeats.py
+++ b/src/fulmarrudder/platform/heartbeats.py
@@ -6,11 +6,12 @@
 import pydantic
 from expression import Error, Ok, Result
 
+from fulmarrudder.address import Address
 from fulmarrudder.membership import Announcement
 from fulmarrudder.model import Condition
 from fulmarrudder.platform.errors import DocumentError
 from fulmarrudder.platform.field_types import (
-    Address,
+    Count,
     Milliseconds,
     Name,
     PlatformModel,
@@ -33,7 +34,7 @@
 
 class _Status(PlatformModel):
     state: Literal["ready", "draining"]
-    sequence: int = pydantic.Field(ge=0)
+    sequence: Count
     # Remaining warm-up time.
     warmup_left: Milliseconds = pydantic.Field(0.0, alias="coldLeft")
 
@@ -43,7 +44,7 @@
     info: _Info
     status: _Status
     # Start of the target, in Unix milliseconds.
-    born: int | None = pydantic.Field(None, ge=0)
+    born: Count | None = None
 
 
 def parse_heartbeat(
--- a/src/fulmarrudder/platform/settings.py
+++ b/src/fulmarrudder/platform/settings.py
@@ -8,9 +8,9 @@
 import pydantic
 from expression import Error, Ok, Result
 
+from fulmarrudder.address import Address
 from fulmarrudder.platform.errors import SettingsError
 from fulmarrudder.platform.field_types import (
-    Address,
     Milliseconds,
     Name,
     PlatformModel,
@@ -117,7 +117,7 @@
     """
     try:
         model = _SettingsFile.model_validate(json.loads(text))
-    except json.JSONDecodeError as error:
+    except (json.JSONDecodeError, RecursionError) as error:
         return Error(SettingsError((f"not JSON: {error}",)))
     except pydantic.ValidationError as error:
         return Error(SettingsError(list_faults(error)))
--- a/src/fulmarrudder/platform/store.py
+++ b/src/fulmarrudder/platform/store.py
@@ -147,7 +147,7 @@
             page = _parse_object(response)
             try:
                 records += [_parse_item(item) for item in page["items"]]
-                end, more = page["endOffset"], page["hasMore"]
+                end, more = _parse_offset(page["endOffset"]), page["hasMore"]
             except (KeyError, TypeError, ValueError) as error:
                 raise StoreRejectedError(
                     response.status, f"invalid page: {error}"
@@ -173,10 +173,13 @@
         """
         query = {"topic": topic, "part": "0", "after": LAST_KEY}
         response = await self._get("/-/log-newest", query, END_TIMEOUT_S)
-        end = _parse_object(response).get("endOffset")
-        if not isinstance(end, int):
-            raise StoreRejectedError(response.status, "page without an end")
-        return end
+        page = _parse_object(response)
+        try:
+            return _parse_offset(page["endOffset"])
+        except (KeyError, TypeError) as error:
+            raise StoreRejectedError(
+                response.status, f"invalid page: {error}"
+            ) from error
 
     async def read(
         self,
@@ -420,7 +423,7 @@
 def _parse_object(response: StoreResponse) -> dict:
     try:
         document = json.loads(response.body)
-    except ValueError as error:
+    except (ValueError, RecursionError) as error:
         raise StoreRejectedError(
             response.status, f"not JSON: {error}"
         ) from error
@@ -430,13 +433,22 @@
 
 
 def _parse_item(item: dict) -> KeyedRecord:
+    key = item["key"]
+    if not isinstance(key, str):
+        raise TypeError("a key is not a string")
     return KeyedRecord(
-        key=item["key"],
+        key=key,
         value=base64.b64decode(item["value"]),
-        offset=item["offset"],
+        offset=_parse_offset(item["offset"]),
     )
 
 
+def _parse_offset(value: object) -> int:
+    if not isinstance(value, int):
+        raise TypeError("an offset is not a number")
+    return value
+
+
 def _parse_read_response(data: bytes, start: int) -> RecordBatch:
     if len(data) < READ_HEADER.size:
         raise StoreRejectedError(200, "read response shorter than its header")
