A stopping node answers what it has taken before its process ends

What was taken before then could be cut: with a grace of 6 s the node ends at 5.4 s, a call taken at 2.2 s may have 5 s (uploads of the grown sites), and one that waited in a queue, or for its next attempt, got a closed connection.

Now a call taken while the node stops has no more time than the node, so that a target answers 504 itself, a queue refuses in time, and what cannot be done is refused at once as not run; whatever is under way at the end is answered 502 before the port closes.

--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import math
 import random
 from collections.abc import Callable
 
@@ -120,6 +121,8 @@
         balancer: Selects endpoints.
         sender: Sends calls to other nodes.
         report: Reports decisions as events.
+        stop_deadline: Clock seconds by which every call is answered, as the
+            node stops then; infinite while it does not stop.
     """
 
     def __init__(
@@ -162,6 +165,7 @@
         )
         self.active_config = ActiveConfig()
         self.freshness = ConfigFreshness()
+        self.stop_deadline = math.inf
         self.steps = (
             sanitize_request,
             self._check_configured,
@@ -205,6 +209,7 @@
         )
         if isinstance(call, Refusal):
             return refusal_answer(call)
+        call.deadline = min(call.deadline, self.stop_deadline)
         send_continue()
         prefix = b""
         if not body.ended:
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -157,6 +157,11 @@
         if self.is_next:
             self._deliver(answer)
 
+    def give_up(self) -> None:
+        """Answers the call as broken unless its answer has begun."""
+        if self.answer is None and not self.done:
+            self.pending_answer.cancel()
+
     def start_sending(self) -> None:
         """Sends the answer, or allows it to be sent once there is one."""
         self.is_next = True
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -99,6 +99,12 @@
         self.notify_if_drained()
         return closed
 
+    def end_remaining(self) -> None:
+        """Answers the calls in progress: this node can wait no longer."""
+        for connection in tuple(self.connections):
+            for call in tuple(connection.calls):
+                call.give_up()
+
     def notify_if_drained(self) -> None:
         """Fires the waiting Deferreds if every connection is closed."""
         if self.connections or not self.leaving:
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -63,6 +63,8 @@
 READINESS_DRAIN_S = 2.3
 # Part of the grace period that remains after connections are closed.
 STOP_SLACK_S = 0.6
+# Time in which an answer that is written reaches its caller.
+ANSWER_MARGIN_S = 0.1
 EXIT_FAULT = 1
 EXIT_INVALID_SETTINGS = 2
 # Allocations between two collections of the youngest generation.
@@ -268,10 +270,11 @@
     def _stop(self):
         logs.info("stopping", in_flight=self.node.calls.active)
         started_at = self.reactor.seconds()
+        deadline = started_at + self.settings.grace_period_s - STOP_SLACK_S
+        self.node.entry.stop_deadline = deadline - ANSWER_MARGIN_S
         self.node.leave()
         yield deferLater(self.reactor, READINESS_DRAIN_S)
         self._log_stop("readiness-drained", started_at)
-        deadline = started_at + self.settings.grace_period_s - STOP_SLACK_S
         yield self.call_port.stopListening()
         self._log_stop("not-listening", started_at)
         drained = self.node.calls.leave()
@@ -284,6 +287,9 @@
             )
         )
         yield drained
+        if self.node.calls.active:
+            self.node.calls.end_remaining()
+            yield deferLater(self.reactor, ANSWER_MARGIN_S)
         self._log_stop("connections-closed", started_at)
         self.node.stop()
         logs.info("stopped", store_calls=self.store.calls)
