--- a/src/fulmarrudder/call/advice.py
+++ b/src/fulmarrudder/call/advice.py
@@ -2,11 +2,20 @@
 
 import dataclasses
 import math
+from collections.abc import Callable
 
 from fulmarrudder.call.header_names import HeaderNames
+from fulmarrudder.call.host_report import HostReport
 from fulmarrudder.call.message import ResponseHead
+from fulmarrudder.call.slots import Slots
+from fulmarrudder.membership import Announcement, LocalTarget
+from fulmarrudder.observe import logs
 
 YES = b"1"
+# Requests let in for each that the target names: what is over one and a half
+# times the limit within 4 s counts as too much, and bursts and resent requests
+# come on top.
+LIMIT_TOLERANCE = 1.3
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -52,3 +61,65 @@
     except ValueError:
         return math.inf
     return rate if rate >= 0 else math.inf
+
+
+class AdviceTracker:
+    """Applies what the local target tells of itself.
+
+    Attributes:
+        latest: What it told last.
+        incarnation: Incarnation of the target that told it.
+        on_leaving: Called when the target tells that it is leaving.
+    """
+
+    def __init__(
+        self,
+        *,
+        header_names: HeaderNames,
+        local_target: LocalTarget,
+        slots: Slots,
+        report: HostReport,
+        on_leaving: Callable[[], object],
+    ):
+        self.header_names = header_names
+        self.local_target = local_target
+        self.slots = slots
+        self.report = report
+        self.on_leaving = on_leaving
+        self.latest = NO_ADVICE
+        self.incarnation = 0
+
+    def announced(self, target: Announcement) -> None:
+        """Forgets what an earlier incarnation of the target told."""
+        if target.incarnation != self.incarnation:
+            self._limit(math.inf)
+            self.latest = NO_ADVICE
+
+    def answered(self, head: ResponseHead, target: Announcement) -> None:
+        """Applies what an answer tells.
+
+        Args:
+            head: Its head; the target wrote it to the request.
+            target: The target, as announced when the request was sent.
+        """
+        current = self.local_target.latest
+        if (current.id, current.incarnation) != (target.id, target.incarnation):
+            return
+        advice = parse_advice(head, self.header_names)
+        if advice.is_leaving and not self.latest.is_leaving:
+            logs.info("target-leaving", target=target.id)
+            self.on_leaving()
+        self._limit(advice.requests_per_s)
+        self.incarnation = target.incarnation
+        self.latest = advice
+
+    def _limit(self, per_s: float) -> None:
+        if per_s == self.latest.requests_per_s:
+            return
+        self.report.target_limited(per_s, self.latest.requests_per_s)
+        admitted_per_s = LIMIT_TOLERANCE * per_s
+        self.slots.limit_rate(admitted_per_s)
+        # By Little's law: others then send here what fits.
+        self.local_target.slot_limit = max(
+            1.0, admitted_per_s * self.slots.service_time_s
+        )
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -20,11 +20,7 @@
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
-from fulmarrudder.call.advice import (
-    NO_ADVICE,
-    TargetAdvice,
-    parse_advice,
-)
+from fulmarrudder.call.advice import AdviceTracker
 from fulmarrudder.call.answer import Answer, BufferedAnswer, refusal_answer
 from fulmarrudder.call.body import RequestBody
 from fulmarrudder.call.buffering import body_of, buffer_answer
@@ -142,9 +138,7 @@
         report: Reports decisions as events.
         retry_budgets: Retry budgets of this node.
         intake: Limits the bodies that other nodes send at once.
-        advice: What the target told of itself last.
-        advised_incarnation: Incarnation of the target that told it.
-        on_target_leaving: Called when the target tells that it is leaving.
+        advice: Applies what the target tells of itself in its answers.
     """
 
     def __init__(
@@ -176,9 +170,6 @@
         self.leaving = False
         self.in_flight = 0
         self.retry_budgets = RetryBudgets()
-        self.on_target_leaving = on_target_leaving or local_target.leave
-        self.advice = NO_ADVICE
-        self.advised_incarnation = 0
         self.intake = Intake(clock, link_bytes_per_s)
         self.warmup = WarmupTracker()
         self.report = HostReport(
@@ -187,6 +178,13 @@
             slots=self.slots,
             header_names=header_names,
         )
+        self.advice = AdviceTracker(
+            header_names=header_names,
+            local_target=local_target,
+            slots=self.slots,
+            report=self.report,
+            on_leaving=on_target_leaving or local_target.leave,
+        )
 
     def apply_announcement(self) -> None:
         """Applies the slot and connection limits that the target announced.
@@ -198,8 +196,7 @@
         latest = self.local_target.latest
         if latest is not None:
             self.slots.resize(min(latest.slots, latest.connections))
-            if latest.incarnation != self.advised_incarnation:
-                self._apply(NO_ADVICE)
+            self.advice.announced(latest)
 
     async def serve(
         self, request: HostRequest, body: RequestBody, send_continue
@@ -350,7 +347,7 @@
         head, exchange = reply.head, reply.exchange
         validity = check_answer(head, request.head, self.header_names)
         if validity in TOLD_BY_TARGET:
-            self._heed(parse_advice(head, self.header_names), target)
+            self.advice.answered(head, target)
         if validity is not AnswerValidity.VALID:
             refusal = self._refuse_invalid_answer(
                 request, target, validity, reply, started_at
@@ -368,34 +365,6 @@
         )
         return UpstreamAnswer(sanitize_response(head), exchange)
 
-    def _heed(self, advice: TargetAdvice, target: Announcement) -> None:
-        """Applies what an answer told of the target.
-
-        Args:
-            advice: What it told.
-            target: The target that answered, as announced when it was asked.
-        """
-        latest = self.local_target.latest
-        if (latest.id, latest.incarnation) != (target.id, target.incarnation):
-            return
-        self.advised_incarnation = target.incarnation
-        if advice.is_leaving and not self.advice.is_leaving:
-            logs.info("target-leaving", target=target.id)
-            self.on_target_leaving()
-        self._apply(advice)
-
-    def _apply(self, advice: TargetAdvice) -> None:
-        before, self.advice = self.advice, advice
-        per_s = advice.requests_per_s
-        if per_s == before.requests_per_s:
-            return
-        self.report.target_limited(per_s, before.requests_per_s)
-        self.slots.limit_rate(per_s)
-        # By Little's law: others then send here what fits.
-        self.local_target.slot_limit = max(
-            1.0, per_s * self.slots.service_time_s
-        )
-
     async def _connect(
         self, request: HostRequest, target: Announcement
     ) -> Connection | Refusal:
