--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -140,6 +140,7 @@
             ),
             on_answer=self.node.confirm_version,
             relies_on_own_reads=self.node.gossip.relies_on_own_reads,
+            due_s=settings.config_apply_s,
         )
         self.refresher = Refresher(
             clock=reactor,
--- a/src/fulmarrudder/platform/refresher.py
+++ b/src/fulmarrudder/platform/refresher.py
@@ -10,7 +10,8 @@
 # Time in which the read that waits usually brings a version that a neighbour
 # has.
 REFRESH_DELAY_S = 0.3
-# Time before another read, after one that failed.
+# Time before another read, after one that failed or that a newer version has
+# overtaken.
 RETRY_DELAY_S = 0.4
 
 
--- a/src/fulmarrudder/platform/settings.py
+++ b/src/fulmarrudder/platform/settings.py
@@ -33,6 +33,9 @@
 class _Bounds(PlatformModel):
     drain: Milliseconds = 2_000.0
     grace: Milliseconds = 6_000.0
+    config_apply: Milliseconds = pydantic.Field(
+        2_000.0, alias="configApply", gt=0
+    )
     retry_ratio: float = pydantic.Field(0.2, alias="retryBudgetRatio")
     retry_slack: float = pydantic.Field(50.0, alias="budgetSlack")
 
@@ -77,6 +80,8 @@
         metrics_address: Where the node serves its metrics.
         store_address: Where the platform's store listens.
         drain_s: Seconds after which a leaving target must receive no requests.
+        config_apply_s: Seconds within which an acknowledged configuration
+            version is in force on every node.
         grace_period_s: Seconds from the stop signal until the process is
             killed.
         retry_ratio: Retry budget of all nodes together, as a ratio of retries
@@ -99,6 +104,7 @@
     metrics_address: str
     store_address: str
     drain_s: float
+    config_apply_s: float
     grace_period_s: float
     retry_ratio: float
     retry_slack: float
@@ -136,6 +142,7 @@
             metrics_address=f"{model.ip}:{first_port + METRICS_PORT_INDEX}",
             store_address=model.store.address,
             drain_s=model.bounds.drain / 1000,
+            config_apply_s=model.bounds.config_apply / 1000,
             grace_period_s=model.bounds.grace / 1000,
             retry_ratio=model.bounds.retry_ratio,
             retry_slack=model.bounds.retry_slack,
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -22,9 +22,10 @@
 # How long a read waits for a record. A longer wait would delay the detection of
 # a store that does not answer; a waiting read costs the store almost nothing.
 LONG_POLL_S = 5.0
-# The same where no other node tells of a version. A read that begins while a
-# record is appended may wait for all of it, and versions are due within 2 s.
-SHORT_POLL_S = 1.0
+# The same where no other node tells of a version, as a fraction of the time within
+# which a version is due: a read that begins while a record is appended may wait for
+# all of it.
+SHORT_POLL_FRACTION = 0.5
 # Longest pause after a read that returned records, so that records written in
 # quick succession are read together.
 BATCH_PAUSE_S = 0.4
@@ -44,6 +45,7 @@
         on_answer: Called after the records of an answer were passed on.
         relies_on_own_reads: Returns whether no other node would tell of
             records that are missed.
+        short_poll_s: How long a read waits if none does.
         next_offset: Offset of the next record; -1 to read the latest record of
             each key first.
         offsets: Offset of the latest record passed on, by key.
@@ -64,13 +66,27 @@
         on_record: Callable[[KeyedRecord], None],
         on_answer: Callable[[], None],
         relies_on_own_reads: Callable[[], bool],
+        due_s: float,
     ):
+        """Builds a tail.
+
+        Args:
+            store: Client of the store.
+            clock: Clock for pauses.
+            rng: Random numbers for pauses and waits.
+            topic: Name of the topic.
+            on_record: See `Tail`.
+            on_answer: See `Tail`.
+            relies_on_own_reads: See `Tail`.
+            due_s: Seconds within which a record takes effect everywhere.
+        """
         self.store = store
         self.clock = clock
         self.topic = topic
         self.on_record = on_record
         self.on_answer = on_answer
         self.relies_on_own_reads = relies_on_own_reads
+        self.short_poll_s = min(LONG_POLL_S, SHORT_POLL_FRACTION * due_s)
         self.rng = rng
         self.next_offset = -1
         self.offsets: dict[str, int] = {}
@@ -125,7 +141,7 @@
             return
         limit_s = LONG_POLL_S
         if self.relies_on_own_reads():
-            limit_s = SHORT_POLL_S
+            limit_s = self.short_poll_s
         self.received_records = await self._read_batch(self._draw(limit_s))
 
     async def _read_missed(self) -> None:
--- a/tests/node/test_verdict_faults.py
+++ b/tests/node/test_verdict_faults.py
@@ -272,6 +272,7 @@
             on_record=self.records.apply_record,
             on_answer=self.node.confirm_version,
             relies_on_own_reads=lambda: False,
+            due_s=2.0,
         )
         self.renewal = None
         self.reading = None
--- a/tests/platform/test_refresher.py
+++ b/tests/platform/test_refresher.py
@@ -14,6 +14,9 @@
 )
 from fulmarrudder.platform.tail import Tail
 
+# The stated time within which a version is in force.
+CONFIG_APPLY_S = 2.0
+
 
 class FakeTail:
     """A tail whose reads end as the test says.
@@ -123,6 +126,7 @@
         on_record=lambda record: None,
         on_answer=lambda: None,
         relies_on_own_reads=lambda: False,
+        due_s=CONFIG_APPLY_S,
     )
     for name in ("available", "receiving", "refresh"):
         assert hasattr(tail, name)
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -137,6 +137,7 @@
         on_record=passed.append,
         on_answer=lambda: None,
         relies_on_own_reads=lambda: False,
+        due_s=CONFIG_APPLY_S,
     )
     ensureDeferred(tail.run())
     return tail, passed
--- a/tests/platform/test_versions_in_time.py
+++ b/tests/platform/test_versions_in_time.py
@@ -160,6 +160,7 @@
             on_record=self._apply,
             on_answer=lambda: None,
             relies_on_own_reads=self.node.mesh.relies_on_own_reads,
+            due_s=CONFIG_APPLY_S,
         )
         self.refresher = Refresher(
             clock=fleet.net.clock,
