--- a/src/fulmarrudder/call/freshness.py
+++ b/src/fulmarrudder/call/freshness.py
@@ -38,7 +38,7 @@
         return {
             "version_ms": _age_ms(self.activated_at, now),
             "source_ms": _age_ms(self.confirmed_at, now),
-            "told_version": self.told_version,
+            "told": self.told_version,
             "told_ms": _age_ms(self.told_at, now),
         }
 
--- a/tests/call/test_walks.py
+++ b/tests/call/test_walks.py
@@ -163,5 +163,5 @@
     (line,) = walk.log_lines.take("call-refused", reason="no-route")
     assert float(line["version_ms"]) == pytest.approx(2500, abs=20)
     assert float(line["source_ms"]) == pytest.approx(2000, abs=20)
-    assert line["told_version"] == "97"
+    assert line["told"] == "97"
     assert float(line["told_ms"]) == pytest.approx(1500, abs=20)
