A body that arrives keeps its room on the link

The room of a body ended 0.5 s after it was asked for, so that on a full link, where a body takes longer, more and more were under way: the case that the limit is for. Now it ends after 0.5 s without a byte, which is what a frozen sender shows.

Shown by test_body_that_arrives_slowly_keeps_its_room, which failed before.

--- a/src/fulmarrudder/call/intake.py
+++ b/src/fulmarrudder/call/intake.py
@@ -16,8 +16,8 @@
 # What may be under way, in seconds of the link: enough to keep it busy for the
 # round trip after which the next body arrives.
 WINDOW_S = 0.15
-# Longest time that a body keeps its room: its sender may be frozen.
-MAX_HOLD_S = 0.5
+# Time without a byte after which a body loses its room: its sender may be frozen.
+STALL_TIMEOUT_S = 0.5
 
 
 class _State(enum.Enum):
@@ -54,7 +54,7 @@
             body: Its body; the permit ends with it.
             start: Lets the other node send the body.
         """
-        permit = BodyPermit(self, self._size_of(head), start)
+        permit = BodyPermit(self, self._size_of(head), body, start)
         body.on_end = permit.release
         return permit
 
@@ -83,14 +83,32 @@
 
     Attributes:
         size: Bytes of the window.
+        body: The body.
+        seen_bytes: Bytes of it that had arrived when the timer was set.
         start: Lets the other node send the body.
         state: Where the body is on its way.
         timer: Ends the use of the window, or None.
     """
 
-    __slots__ = ("intake", "size", "start", "state", "timer")
-
-    def __init__(self, intake: Intake, size: float, start: Callable[[], None]):
+    __slots__ = (
+        "body",
+        "intake",
+        "seen_bytes",
+        "size",
+        "start",
+        "state",
+        "timer",
+    )
+
+    def __init__(
+        self,
+        intake: Intake,
+        size: float,
+        body: RequestBody,
+        start: Callable[[], None],
+    ):
+        self.body = body
+        self.seen_bytes = 0
         self.intake = intake
         self.size = size
         self.start = start
@@ -109,12 +127,21 @@
         """Lets the other node send the body."""
         self.state = _State.ADMITTED
         if self.size:
-            self.timer = self.intake.clock.callLater(MAX_HOLD_S, self._expire)
+            self._watch()
         self.start()
 
-    def _expire(self) -> None:
+    def _watch(self) -> None:
+        self.seen_bytes = self.body.received_bytes
+        self.timer = self.intake.clock.callLater(
+            STALL_TIMEOUT_S, self._release_if_stalled
+        )
+
+    def _release_if_stalled(self) -> None:
         self.timer = None
-        self.release()
+        if self.body.received_bytes > self.seen_bytes:
+            self._watch()
+        else:
+            self.release()
 
     def release(self) -> None:
         """Ends the use of the window; a second call does nothing."""
--- a/tests/call/test_intake.py
+++ b/tests/call/test_intake.py
@@ -6,7 +6,7 @@
 from twisted.internet.task import Clock
 
 from fulmarrudder.call.body import RequestBody
-from fulmarrudder.call.intake import MAX_HOLD_S, WINDOW_S, Intake
+from fulmarrudder.call.intake import STALL_TIMEOUT_S, WINDOW_S, Intake
 from fulmarrudder.call.message import Framing, Headers, RequestHead
 from tests.call.network import Caller
 from tests.call.test_host import FakeTransport
@@ -95,12 +95,26 @@
     first, second, third = (Upload(intake, 10**6) for _ in range(3))
     for upload in (first, second, third):
         upload.permit.request()
-    intake.clock.advance(MAX_HOLD_S)
+    intake.clock.advance(STALL_TIMEOUT_S)
     assert (second.asked, third.asked) == (1, 0)
     first.body.receive_end()
     assert third.asked == 0
 
 
+# On a full link bodies took longer than the time for which they kept their room, and
+# more and more were under way.
+def test_body_that_arrives_slowly_keeps_its_room(intake):
+    first, second = (Upload(intake, 10**6) for _ in range(2))
+    for upload in (first, second):
+        upload.permit.request()
+    for _ in range(20):
+        first.body.receive_part(b"x" * 1000)
+        intake.clock.advance(STALL_TIMEOUT_S / 2)
+    assert second.asked == 0
+    intake.clock.advance(2 * STALL_TIMEOUT_S)
+    assert second.asked == 1
+
+
 def test_body_is_asked_for_once(intake):
     upload = Upload(intake)
     upload.permit.request()
