A tail makes one read at a time

The line of the 404 tells it: version 55 active for 3.3 s, the store's last answer 2.6 s ago, 69 told 0.7 s ago.

Cause: the read for a version that a neighbour has was made beside the tail's own. After a batch the tail itself read the latest versions, some 300 KB with 1,740 routes, while the refresh read the three that had come, as much each, on 11 Mbit/s; and a read of the latest versions did not count as arriving, so that further refreshes and requests to neighbours followed.

Now a node that is behind its neighbours begins the read that waits afresh, and only that one: it is cancelled, and the one after it is answered at once. While any other read is under way nothing is begun, and receiving is true for it. The refresher has no reads, retries or faults of its own any more.

--- a/src/fulmarrudder/node/supervisor.py
+++ b/src/fulmarrudder/node/supervisor.py
@@ -84,16 +84,6 @@
         self.coroutine_tasks.append(task)
         task.start()
 
-    def run_once(self, name: str, coroutine: Coroutine) -> None:
-        """Runs a coroutine that ends by itself.
-
-        Args:
-            name: Name of the task, for its faults.
-            coroutine: The coroutine.
-        """
-        running = ensureDeferred(coroutine)
-        running.addErrback(lambda failure: self.record_fault(name, failure))
-
     def guard(
         self, name: str, handler: Callable, on_fault: Callable = ignore
     ) -> Callable:
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -1,6 +1,5 @@
 """Daemon that runs a node on the platform."""
 
-import functools
 import gc
 import os
 import pathlib
@@ -146,7 +145,6 @@
             clock=reactor,
             tail=self.tail,
             active_version=lambda: self.node.version,
-            run=functools.partial(self.supervisor.run_once, "refresh"),
         )
 
     def start(self) -> None:
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from twisted.internet.defer import CancelledError, Deferred, ensureDeferred
 from twisted.internet.task import deferLater
 
 from fulmarrudder.clock import Clock
@@ -51,7 +52,10 @@
         offsets: Offset of the latest record passed on, by key.
         available: Whether the store answered the latest call.
         received_records: Whether the latest answer contained records.
-        receiving: Whether records are arriving.
+        receiving: Whether records are arriving, or were asked for without a
+            wait.
+        waiting: The read that waits for a record, or None.
+        is_refreshing: Whether that read was cancelled to begin another one.
         lags: Whether records were replaced by later ones before they were
             read, so that only the latest ones are read next.
     """
@@ -93,6 +97,8 @@
         self.available = False
         self.received_records = False
         self.receiving = False
+        self.waiting: Deferred | None = None
+        self.is_refreshing = False
         self.lags = False
         self.backoff = Backoff(
             base_delay_s=RETRY_BASE_DELAY_S,
@@ -126,13 +132,15 @@
         while await self._read_batch(wait_s=0.0):
             continue
 
-    async def refresh(self) -> None:
-        """Reads the next records beside a read that waits for them.
+    def refresh(self) -> None:
+        """Begins a read that waits afresh, unless its answer is arriving.
 
-        Raises:
-            StoreError: The store is unavailable or rejects the call.
+        Records that were written before are in the answer to the new one. One
+        read at a time: copies of large records would delay each other.
         """
-        await self._read_batch(wait_s=0.0)
+        if self.waiting is not None:
+            self.is_refreshing = True
+            self.waiting.cancel()
 
     async def _read_once(self) -> None:
         self.received_records = False
@@ -142,7 +150,12 @@
         limit_s = LONG_POLL_S
         if self.relies_on_own_reads():
             limit_s = self.short_poll_s
-        self.received_records = await self._read_batch(self._draw(limit_s))
+        try:
+            self.received_records = await self._read_batch(self._draw(limit_s))
+        except CancelledError:
+            if not self.is_refreshing:
+                raise
+            self.is_refreshing = False
 
     async def _read_missed(self) -> None:
         """Reads what was written while the store did not answer.
@@ -161,15 +174,11 @@
 
     async def _read_batch(self, wait_s: float) -> bool:
         """Passes on the records that follow; returns whether there were any."""
-        if self.next_offset < 0:
-            batch = await self.store.read_latest(self.topic)
-        elif self.lags:
-            # As long as a read may take: the link is slow.
-            batch = await self.store.read_latest(
-                self.topic, timeout_s=LONG_POLL_S
-            )
-        else:
-            batch = await self._read_from(self.next_offset, wait_s)
+        self.receiving = True
+        try:
+            batch = await self._next_batch(wait_s)
+        finally:
+            self.receiving = False
         # Skip records that a later record of the same key replaces.
         latest = {record.key: record for record in batch.records}
         passed = 0
@@ -187,16 +196,36 @@
         self.on_answer()
         return bool(batch.records)
 
-    async def _read_from(self, start: int, wait_s: float) -> RecordBatch:
-        try:
-            return await self.store.read(
-                self.topic, start, wait_s, on_head=self._mark_receiving
+    async def _next_batch(self, wait_s: float) -> RecordBatch:
+        if self.next_offset < 0:
+            return await self.store.read_latest(self.topic)
+        if self.lags:
+            # As long as a read may take: the link is slow.
+            return await self.store.read_latest(
+                self.topic, timeout_s=LONG_POLL_S
+            )
+        if not wait_s:
+            return await self.store.read(self.topic, self.next_offset, wait_s)
+        return await self._wait_for_records(wait_s)
+
+    async def _wait_for_records(self, wait_s: float) -> RecordBatch:
+        self.receiving = False
+        self.waiting = ensureDeferred(
+            self.store.read(
+                self.topic,
+                self.next_offset,
+                wait_s,
+                on_head=self._mark_receiving,
             )
+        )
+        try:
+            return await self.waiting
         finally:
-            self.receiving = False
+            self.waiting = None
 
     def _mark_receiving(self) -> None:
         self.receiving = True
+        self.waiting = None
 
     def _mark_unavailable(self, error: StoreError) -> None:
         if self.available or not self.backoff.failures:
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -3,7 +3,11 @@
 import random
 
 import pytest
-from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.defer import (
+    CancelledError,
+    Deferred,
+    ensureDeferred,
+)
 from twisted.internet.task import Clock, deferLater
 
 from fulmarrudder.platform.errors import ExpiredError, StoreUnavailableError
@@ -44,7 +48,8 @@
     async def read_latest(self, topic, **_):
         return await self._wait(None)
 
-    async def read(self, topic, start, wait_s, **_):
+    async def read(self, topic, start, wait_s, *, on_head=None):
+        self.on_head = on_head
         return await self._wait(start)
 
     def _wait(self, start):
@@ -127,7 +132,7 @@
 
 
 def start_tail(store, clock):
-    """Returns a running tail, and the records that it passes on."""
+    """Returns a tail, the records that it passes on, and what runs it."""
     passed = []
     tail = Tail(
         store=store,
@@ -139,8 +144,7 @@
         relies_on_own_reads=lambda: False,
         due_s=CONFIG_APPLY_S,
     )
-    ensureDeferred(tail.run())
-    return tail, passed
+    return tail, passed, ensureDeferred(tail.run())
 
 
 class Scene:
@@ -148,7 +152,9 @@
 
     def __init__(self):
         self.store, self.clock = FakeStore(), Clock()
-        self.tail, self.passed = start_tail(self.store, self.clock)
+        self.tail, self.passed, self.running = start_tail(
+            self.store, self.clock
+        )
 
     def serve(self, *records, next_offset):
         batch = RecordBatch(records=records, next_offset=next_offset)
@@ -220,7 +226,7 @@
 def test_record_written_during_a_cut_is_read_soon_after_it(cut_s, polled_s):
     clock = Clock()
     store = CutStore(clock)
-    _, passed = start_tail(store, clock)
+    _, passed, _ = start_tail(store, clock)
     clock.advance(polled_s)
     store.is_cut = True
     clock.pump([0.1] * round(cut_s * 10))
@@ -237,7 +243,7 @@
 def test_versions_in_a_row_are_in_force_in_time_on_a_thin_link(period_s):
     clock = Clock()
     store = ThinStore(clock)
-    tail, passed = start_tail(store, clock)
+    tail, passed, _ = start_tail(store, clock)
     for _ in range(round(8.0 / period_s)):
         store.written_at.append(clock.seconds())
         clock.pump([0.01] * round(period_s * 100))
@@ -254,10 +260,52 @@
 def test_latest_version_is_read_on_a_link_that_is_slower_than_a_call():
     clock = Clock()
     store = ThinStore(clock)
-    _, passed = start_tail(store, clock)
+    _, passed, _ = start_tail(store, clock)
     store.bytes_per_s = DOCUMENT_BYTES * BASE64_RATIO / (CALL_TIMEOUT_S + 1.0)
     store.written_at += [0.0, 0.0]
     clock.pump([0.01] * 500)
     store.written_at.append(clock.seconds())
     clock.pump([0.01] * 1000)
     assert passed[-1].offset == 2
+
+
+# A read that had met an append was waiting, and the next one beside it brought the
+# same large records again over a slow link.
+def test_refresh_begins_the_waiting_read_afresh(scene):
+    scene.serve(record(12), next_offset=13)
+    waiting = scene.store.waiting[0]
+    scene.tail.refresh()
+    assert scene.store.reads == [None, 13, 13]
+    waiting.addErrback(lambda failure: failure.trap(CancelledError))
+    scene.store.waiting.pop(0)
+    scene.serve(record(13), next_offset=14)
+    assert scene.offsets() == [12, 13]
+
+
+def test_refresh_lets_a_read_whose_answer_arrives_go_on(scene):
+    scene.serve(record(12), next_offset=13)
+    scene.store.on_head()
+    assert scene.tail.receiving
+    scene.tail.refresh()
+    assert scene.store.reads == [None, 13]
+    scene.serve(record(13), next_offset=14)
+    assert scene.offsets() == [12, 13]
+
+
+def test_refresh_does_nothing_while_no_read_waits(scene):
+    scene.tail.refresh()
+    assert scene.store.reads == [None]
+    assert scene.tail.receiving
+    scene.store.waiting.pop(0).errback(StoreUnavailableError("503"))
+    scene.tail.refresh()
+    assert scene.store.reads == [None]
+    assert not scene.tail.receiving
+
+
+def test_tail_that_is_stopped_while_it_waits_reads_no_more():
+    scene = Scene()
+    scene.serve(record(12), next_offset=13)
+    scene.running.addErrback(lambda failure: failure.trap(CancelledError))
+    scene.running.cancel()
+    scene.clock.pump([0.5] * 20)
+    assert scene.store.reads == [None, 13]
--- a/tests/platform/test_versions_in_time.py
+++ b/tests/platform/test_versions_in_time.py
@@ -167,7 +167,6 @@
             clock=fleet.net.clock,
             tail=self.tail,
             active_version=lambda: self.version,
-            run=ensureDeferred,
         )
         self.node.mesh.documents.on_version_told = lambda version, _: (
             self.refresher.version_told(version)
