A read that was cancelled leaves no mark if it ends with an error

A refresh cancels the waiting read; if that ends with an error of the store instead, the mark stayed, and a later cancellation of the tail itself, at the stop of the process, would have been taken for a refresh. By reading; no test or play showed it. The developers' page has the paragraph on the machine unchanged.

--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -210,6 +210,8 @@
 
     async def _wait_for_records(self, wait_s: float) -> RecordBatch:
         self.receiving = False
+        # The cancelled read may have ended with an error of its own.
+        self.is_refreshing = False
         self.waiting = ensureDeferred(
             self.store.read(
                 self.topic,
