The wait of a call that failed counts towards the pause after it

Cause, by the test: after a call that was lost in the cut, and had been waited for for 1 s, a tail paused for up to 1 s more. A probe lost just before the end of the cut, the pause and a large version on a thin link are over 3 s. Now the pause is what is left of it: a store that refuses at once is asked as rarely as before.

--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -35,6 +35,7 @@
 MIN_WAIT_FRACTION = 0.6
 RETRY_BASE_DELAY_S = 0.1
 RETRY_MAX_DELAY_S = 1.0
+RETRY_MIN_DELAY_S = 0.05
 
 
 class Tail:
@@ -109,6 +110,7 @@
     async def run(self) -> None:
         """Reads until it is cancelled."""
         while True:
+            started_at = self.clock.seconds()
             try:
                 await self._read_once()
             except ExpiredError:
@@ -117,7 +119,11 @@
                 await deferLater(self.clock, self.backoff.next_delay())
             except StoreError as error:
                 self._mark_unavailable(error)
-                await deferLater(self.clock, self.backoff.next_delay())
+                # What the read has waited counts, or the end of a cut would be
+                # noticed late.
+                waited_s = self.clock.seconds() - started_at
+                delay_s = self.backoff.next_delay() - waited_s
+                await deferLater(self.clock, max(RETRY_MIN_DELAY_S, delay_s))
             else:
                 self._mark_available()
                 if self.received_records:
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -64,9 +64,11 @@
     Attributes:
         is_cut: Whether it is.
         end: Offset of the next record.
+        transfer_s: Seconds that records take on the link.
     """
 
-    def __init__(self, clock):
+    def __init__(self, clock, transfer_s=0.0):
+        self.transfer_s = transfer_s
         self.clock = clock
         self.is_cut = False
         self.end = 1
@@ -88,6 +90,8 @@
             await deferLater(self.clock, READ_TIMEOUT_SLACK_S)
             raise StoreUnavailableError("TimeoutError")
         records = tuple(record(offset) for offset in range(start, self.end))
+        if records:
+            await deferLater(self.clock, self.transfer_s)
         return RecordBatch(records=records, next_offset=self.end)
 
 
@@ -131,13 +135,13 @@
             raise StoreUnavailableError("TimeoutError")
 
 
-def start_tail(store, clock):
+def start_tail(store, clock, seed=1):
     """Returns a tail, the records that it passes on, and what runs it."""
     passed = []
     tail = Tail(
         store=store,
         clock=clock,
-        rng=random.Random(1),
+        rng=random.Random(seed),
         topic="keyed.op",
         on_record=passed.append,
         on_answer=lambda: None,
@@ -237,6 +241,23 @@
     assert [record.offset for record in passed] == [1]
 
 
+# A node whose link takes a second for a large version had it 3.05 s after a cut: it
+# paused for up to a second after each call that it had waited a second for.
+@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("cut_s", [6.5, 8.0, 11.0])
+def test_large_version_is_read_in_time_after_a_cut(cut_s, seed):
+    clock = Clock()
+    store = CutStore(clock, transfer_s=1.0)
+    _, passed, _ = start_tail(store, clock, seed=seed)
+    clock.advance(2.5)
+    store.is_cut = True
+    clock.pump([0.1] * round(cut_s * 10 + seed))
+    store.end = 2
+    store.is_cut = False
+    clock.pump([0.1] * round(STABILITY_WINDOW_S * 10))
+    assert [record.offset for record in passed] == [1]
+
+
 # A node on a thin link read every version of a series, of which each replaced the
 # one before, and fell behind: its requests were handled as 2.6 s before.
 @pytest.mark.parametrize("period_s", [0.15, 0.2, 0.3, 0.6])
