Records are read from a store that does not tell the end of a topic

After a store that did not answer, the end is asked for with a key beyond all others, a use of the pages that the protocol does not spell out. It is then read as before.

--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -12,6 +12,7 @@
 from fulmarrudder.platform.errors import (
     ExpiredError,
     StoreError,
+    StoreRejectedError,
     StoreUnavailableError,
 )
 from fulmarrudder.platform.store import (
@@ -169,10 +170,14 @@
         The end of the topic is asked for first: it is a small response, so that
         it tells soon whether the store answers, on a slow link as well.
         """
-        missed = await self.store.read_end(self.topic) - self.next_offset
-        if missed <= 0:
-            return
-        self.lags = missed > 1
+        try:
+            missed = await self.store.read_end(self.topic) - self.next_offset
+        except StoreRejectedError as error:
+            logs.warning("store-end-unknown", topic=self.topic, detail=error)
+        else:
+            if missed <= 0:
+                return
+            self.lags = missed > 1
         self.received_records = await self._read_batch(wait_s=0.0)
 
     def _draw(self, limit_s: float) -> float:
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -10,7 +10,11 @@
 )
 from twisted.internet.task import Clock, deferLater
 
-from fulmarrudder.platform.errors import ExpiredError, StoreUnavailableError
+from fulmarrudder.platform.errors import (
+    ExpiredError,
+    StoreRejectedError,
+    StoreUnavailableError,
+)
 from fulmarrudder.platform.store import (
     CALL_TIMEOUT_S,
     END_TIMEOUT_S,
@@ -258,6 +262,24 @@
     assert [record.offset for record in passed] == [1]
 
 
+# Guards against a tail that never reads again, as the store tells no end.
+def test_records_are_read_from_a_store_that_tells_no_end():
+    clock = Clock()
+    store = CutStore(clock)
+
+    async def refuse(topic):
+        raise StoreRejectedError(400, "after")
+
+    store.read_end = refuse
+    _, passed, _ = start_tail(store, clock)
+    store.is_cut = True
+    clock.pump([0.1] * 80)
+    store.end = 2
+    store.is_cut = False
+    clock.pump([0.1] * round(STABILITY_WINDOW_S * 10))
+    assert [record.offset for record in passed] == [1]
+
+
 # A node on a thin link read every version of a series, of which each replaced the
 # one before, and fell behind: its requests were handled as 2.6 s before.
 @pytest.mark.parametrize("period_s", [0.15, 0.2, 0.3, 0.6])
