A share of a short move is held until its evidence has arrived

The lease changed its holder with the nodes that restarted, and the move stood at 60 permille from 3.0 to 12.9 s. The steps that followed were fractions of what was left: 1.25 s at 260, 1.0 s at 520, while evidence takes up to 2.5 s to the controller. Each raise was judged by the share before it; the regression was found 2.2 s after the first raise.

Change: a share above the first is held for EVIDENCE_DELAY_S at least, and one that cannot be held for that long is left out, as it would tell nothing.

Test: test_share_of_a_late_move_is_held_until_its_evidence_has_arrived failed for 9 of 10 cases.

--- a/src/fulmarrudder/move/schedule.py
+++ b/src/fulmarrudder/move/schedule.py
@@ -17,6 +17,8 @@
 SHORT_MOVE_S = 60.0
 SHORT_SHARES_PERMILLE = (60, 260, 520, 1000)
 SHORT_HOLD_FRACTIONS = (0.42, 0.2, 0.25, 0.0)
+# Time in which what a share has caused is known to the controller.
+EVIDENCE_DELAY_S = 2.5
 MIN_HOLD_S = 2.0
 MAX_HOLD_S = 120.0
 SLACK_WEIGHT = 10
@@ -116,14 +118,19 @@
     if finding.doubt:
         return Wait(missing=f"an end to doubt: {finding.doubt}")
     index = SHORT_SHARES_PERMILLE.index(move.permille)
-    hold_s = SHORT_HOLD_FRACTIONS[index] * (left_s + held_s)
+    hold_s = max(
+        EVIDENCE_DELAY_S, SHORT_HOLD_FRACTIONS[index] * (left_s + held_s)
+    )
     if held_s < hold_s:
         return Wait(missing=f"{hold_s - held_s:.1f} s at this share")
     if finding.requests < MIN_REQUESTS_SMALL_SHARE:
         missing = MIN_REQUESTS_SMALL_SHARE - finding.requests
         return Wait(missing=f"{missing} requests on the new version")
     next_permille = SHORT_SHARES_PERMILLE[index + 1]
-    if next_permille == FULL_PERMILLE:
+    # A share that cannot be held for long enough would tell nothing.
+    if next_permille == FULL_PERMILLE or (
+        index > 0 and left_s < EVIDENCE_DELAY_S
+    ):
         return Complete()
     return RaiseShare(permille=next_permille)
 
--- a/tests/move/test_schedule.py
+++ b/tests/move/test_schedule.py
@@ -4,9 +4,11 @@
 
 from fulmarrudder.move import NoRegression, Regression, next_action
 from fulmarrudder.move.schedule import (
+    EVIDENCE_DELAY_S,
     HOLD_WEIGHTS,
     MIN_HOLD_S,
     SHARES_PERMILLE,
+    SHORT_SHARES_PERMILLE,
     Complete,
     RaiseShare,
     TakeBack,
@@ -108,3 +110,44 @@
             permille, held_s = action.permille, 0.0
             moving = move(permille, deadline=30.0)
     assert clock < 28.0
+
+
+def short_move(permille, left_s, held_s, requests=100):
+    finding = NoRegression(requests=requests)
+    moving = move(permille, deadline=left_s)
+    return next_action(moving, finding, held_s=held_s, wall=0.0)
+
+
+# The lease changed its holder for 9 s, and the steps that followed were shortened to
+# the time that was left: a share was raised twice before what it caused was known,
+# and the bad version got 611 requests of 4535 (esfera-lima trouble-2, seed
+# 645050742271).
+@pytest.mark.parametrize("permille", SHORT_SHARES_PERMILLE[1:3])
+@pytest.mark.parametrize("left_s", [1.0, 2.0, 4.0, 5.6, 9.0])
+def test_share_of_a_late_move_is_held_until_its_evidence_has_arrived(
+    permille, left_s
+):
+    action = short_move(permille, left_s, held_s=EVIDENCE_DELAY_S - 0.1)
+    assert isinstance(action, Wait)
+
+
+def test_late_move_completes_from_a_share_that_was_held_long_enough():
+    held_s = EVIDENCE_DELAY_S
+    action = short_move(260, EVIDENCE_DELAY_S - 0.1, held_s=held_s)
+    assert action == Complete()
+    action = short_move(260, 3 * EVIDENCE_DELAY_S, held_s=held_s + 2.0)
+    assert action == RaiseShare(permille=520)
+
+
+# Guards the time for which a version is exposed where nothing delays the move.
+@pytest.mark.parametrize("duration_s", [12.0, 16.0, 30.0])
+def test_short_move_completes_before_its_deadline(duration_s):
+    permille, held_s, clock = 0, 0.0, 0.0
+    while clock < duration_s:
+        action = short_move(permille, duration_s - clock, held_s)
+        if isinstance(action, Complete):
+            break
+        if isinstance(action, RaiseShare):
+            permille, held_s = action.permille, 0.0
+        clock, held_s = clock + 0.25, held_s + 0.25
+    assert clock <= duration_s - 1.0
