Failures of the old version leave the new one in doubt

The difference was significant for neither p-value at so few requests.

Change: while the old version fails more than a tenth of its requests, a share is raised only once a failure rate 0.15 above the old one's is ruled out at two standard deviations.

Test: test_failures_of_the_old_version_leave_the_new_one_in_doubt, added after the change; without it compare_versions knows no such doubt.

--- a/src/fulmarrudder/move/analysis.py
+++ b/src/fulmarrudder/move/analysis.py
@@ -29,6 +29,12 @@
 MIN_LATENCIES_OLD = 25
 SLOW_SHARE_MARGIN = 0.10
 SLOW_QUANTILE = 0.9
+# Failure rate of the old version above which its failures may hide those of the
+# new one.
+OBSCURING_FAILURE_RATE = 0.1
+# Difference between the failure rates that must be ruled out then.
+OBSCURED_FAILURE_MARGIN = 0.15
+OBSCURED_Z_SCORE = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -84,6 +90,7 @@
         if reason:
             return Regression(route=part.route, reason=reason)
     doubts = [_failure_regression(part, DOUBT_P_VALUE) for part in parts]
+    doubts.append(_obscured_failures(sum_evidence(step.routes)))
     return NoRegression(
         requests=sum_evidence(step.routes).new.requests,
         doubt=next(filter(None, doubts), ""),
@@ -188,6 +195,21 @@
     )
 
 
+def _obscured_failures(part: RouteEvidence) -> str:
+    """Tells if the old version fails so often that the new one may be worse."""
+    old, new = part.old, part.new
+    old_rate = old.failures / old.requests if old.requests else 0.0
+    if old_rate <= OBSCURING_FAILURE_RATE:
+        return ""
+    _, upper = wilson_interval(new.failures, new.requests, OBSCURED_Z_SCORE)
+    if upper <= old_rate + OBSCURED_FAILURE_MARGIN:
+        return ""
+    return (
+        f"{new.failures} of {new.requests} requests failed at this share, on"
+        f" the old version {old.failures} of {old.requests}"
+    )
+
+
 def _latency_regression(part: RouteEvidence) -> str:
     old_timed, new_timed = (
         sum(part.old.latency_buckets),
--- a/tests/move/test_analysis.py
+++ b/tests/move/test_analysis.py
@@ -137,3 +137,32 @@
         stats.failures(), window, stats.recent_windows(15.0)
     )
     assert isinstance(finding, NoRegression)
+
+
+# All targets that the service called shed half of their requests, and the bad
+# version failed half of its own: it was completed on few requests (esfera-lima-large
+# scale-1, its small twin).
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        (counts(125, 46), counts(45, 25)),
+        (counts(170, 60), counts(10, 4)),
+        (counts(82, 31), counts(88, 45)),
+    ],
+)
+def test_failures_of_the_old_version_leave_the_new_one_in_doubt(old, new):
+    finding = finding_on(old, new)
+    assert isinstance(finding, NoRegression)
+    assert finding.doubt
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        (counts(400, 160), counts(100, 38)),
+        (counts(900, 20), counts(10, 0)),
+        (counts(0), counts(10, 1)),
+    ],
+)
+def test_version_that_fails_no_more_often_is_in_no_doubt(old, new):
+    assert finding_on(old, new).doubt == ""
