Candidates for the controller's duty are the nodes that have run for longest

The candidates were the first four nodes by id that are present; nodes that start, also those of the new version, displaced them, and the store assigns the partition of the lease anew with each member.

Change: the four that have run for longest, by incarnation. A candidate that restarts is replaced once, and comes back as the youngest.

Test: test_nodes_that_join_displace_no_candidate failed before.

--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -52,9 +52,8 @@
 # Share of the fleet's retry budget that nodes may use. The calls that a
 # retried request makes in turn count as retries as well.
 RETRY_BUDGET_SHARE = 0.4
-# Number of nodes, the first ones by id, that try to obtain the controller's
-# lease: enough that one is left when several are lost at once, few enough to
-# put little load on the store.
+# Number of nodes that try to obtain the controller's lease: enough that one is left
+# when several are lost at once, few enough to put little load on the store.
 MAX_CANDIDATES = 4
 PRESENT_CONDITIONS = frozenset({Condition.READY, Condition.ABSENT})
 # A node that has found no peer after this time serves callers with its local
@@ -380,13 +379,17 @@
         return self.settings.node in self.controller_candidates()
 
     def controller_candidates(self) -> frozenset[str]:
-        """Returns the ids of the nodes that try to obtain the lease."""
+        """Returns the ids of the nodes that try to obtain the lease.
+
+        They are those that have run for longest: a node that joins replaces
+        none of them, as the store assigns the lease anew with each member.
+        """
         nodes = sorted(
-            presence.node
+            (presence.incarnation, presence.node)
             for presence in self.facts.all_of(Presence)
             if presence.condition in PRESENT_CONDITIONS
         )
-        return frozenset(nodes[:MAX_CANDIDATES])
+        return frozenset(node for _, node in nodes[:MAX_CANDIDATES])
 
     def start(self) -> None:
         """Starts the periodic tasks."""
