A target that has left is not used again after its node has restarted

Change: a presence tells the id and start of its target, and whether the target itself leaves. Other nodes remember such a departure for 60 s (departures): a later presence that calls the same start of that target ready counts as leaving, and the node is told of the departure when a link to it opens, before it hears an announcement. A node that stops alone does not make its target a leaving one; the next target or start is ready.

Wire: three fields of a presence, ignored by older builds.

--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -116,6 +116,8 @@
             neighbour.
         documents: Requests and serves configuration.
         on_new_fact: Called with each fact that changed the store.
+        on_own_departure: Called with a presence of this node, of this or an
+            earlier start, that tells that its target leaves.
         on_source_update: Called with what another node of this data centre
             has read from the source of versions.
         on_change: Called with a change of the configuration that another node
@@ -147,6 +149,7 @@
         is_receiving: Callable[[], bool] = bool,
         evidence_readers: Callable[[], frozenset[str]] = frozenset,
         active_version: Callable[[], int] | None = None,
+        on_own_departure: Callable[[Presence], None] = ignore,
         on_source_update: Callable[[SourceUpdate], None] = ignore,
         on_change: Callable[[ConfigChange], None] = ignore,
         link_bytes_per_s: float = math.inf,
@@ -160,6 +163,7 @@
         self.facts = facts
         self.metrics = metrics
         self.on_new_fact = on_new_fact
+        self.on_own_departure = on_own_departure
         self.on_source_update = on_source_update
         self.on_change = on_change
         self.link_bytes_per_s = link_bytes_per_s
@@ -355,6 +359,12 @@
     def _receive(self, fact: Fact, link: Link) -> None:
         self._merge(fact, link)
 
+    @_receive.register
+    def _(self, fact: Presence, link: Link) -> None:
+        if fact.node == self.node and fact.target_leaves:
+            self.on_own_departure(fact)
+        self._merge(fact, link)
+
     @_receive.register
     def _(self, fact: Evidence, link: Link) -> None:
         if fact.attached is None:
@@ -500,9 +510,16 @@
         self.documents.add_offer(link, self._offer_of(message, link))
         self.digests[link] = self._digest_of(message)
         self.outbox.send(link, self._facts_on_open(link))
+        self._remind_of_departure(link)
         if message.node == self.reporter.collector:
             self.reporter.repeat()
 
+    def _remind_of_departure(self, link: Link) -> None:
+        """Tells a node that may have restarted that its target has left."""
+        told = self.facts.departures.of_node(link.node, self.clock.seconds())
+        if told is not None:
+            link.send(FactBatch(facts=(told,)))
+
     @_handle.register
     def _(self, message: FactBatch, link: Link) -> None:
         for fact in message.facts:
--- a/src/fulmarrudder/membership/store.py
+++ b/src/fulmarrudder/membership/store.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatch
 
+from fulmarrudder.membership.departures import Departures
 from fulmarrudder.membership.digest import Digest, toggle
 from fulmarrudder.model import (
     Brake,
@@ -30,6 +31,7 @@
         tombstone_deadlines: Clock seconds at which the presence of a lost
             node is removed, by key.
         digest: Digest of the facts that all nodes hold.
+        departures: Targets that have told that they leave.
     """
 
     def __init__(self):
@@ -40,6 +42,7 @@
         self.brakes: tuple[Brake, ...] = ()
         self.tombstone_deadlines: dict[FactKey, float] = {}
         self.digest = Digest()
+        self.departures = Departures()
 
     def merge(self, fact: Fact, now: float) -> bool:
         """Stores a fact if it has precedence over the stored one.
@@ -51,6 +54,9 @@
         Returns:
             Whether the store has changed.
         """
+        if isinstance(fact, Presence):
+            self.departures.note(fact, now)
+            fact = self.departures.correct(fact, now)
         key = key_of(fact)
         previous = self.facts.get(key)
         if previous is not None and precedence_of(fact) <= precedence_of(
@@ -134,6 +140,7 @@
             now: Clock seconds.
             wall: Wall-clock seconds.
         """
+        self.departures.expire(now)
         for key, deadline in tuple(self.tombstone_deadlines.items()):
             if deadline <= now:
                 del self.tombstone_deadlines[key]
--- a/src/fulmarrudder/model/fact.py
+++ b/src/fulmarrudder/model/fact.py
@@ -38,6 +38,9 @@
         target_version: Version of the target, or empty without a target.
         condition: Condition of the target.
         slots: Maximum number of requests that the target serves at once.
+        target: Id of the target, or empty.
+        target_incarnation: Start of the target, as its announcements tell it.
+        target_leaves: Whether the target itself has told that it leaves.
     """
 
     node: str
@@ -50,6 +53,9 @@
     target_version: str = ""
     condition: Condition = Condition.ABSENT
     slots: int = 0
+    target: str = ""
+    target_incarnation: int = 0
+    target_leaves: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -218,6 +218,7 @@
             current_document=lambda: self.document,
             on_document=on_document,
             on_new_fact=guard("facts", self._on_new_fact),
+            on_own_departure=self.recall_departure,
             on_version_told=self._record_told,
             is_receiving=is_receiving,
             evidence_readers=self.controller_candidates,
@@ -415,6 +416,19 @@
             self.host.apply_announcement()
             self.refresh_presence()
 
+    def recall_departure(self, told: Presence) -> None:
+        """Handles that the local target left beside an earlier start.
+
+        Args:
+            told: This node's presence then.
+        """
+        self.local_target.depart(told.target, told.target_incarnation)
+        latest = self.local_target.latest
+        if latest is None or latest.id != told.target:
+            return
+        if latest.incarnation <= told.target_incarnation:
+            self.target_leaves()
+
     def open_moves(self) -> tuple[Move, ...]:
         """Returns the moves that have no recorded result yet."""
         return tuple(m for m in self.state.moves if m.phase in OPEN_PHASES)
--- a/src/fulmarrudder/node/presence.py
+++ b/src/fulmarrudder/node/presence.py
@@ -52,6 +52,9 @@
             target_version=latest.target_version if latest else "",
             condition=Condition.LEAVING if leaving else condition,
             slots=self.local_target.offered_slots,
+            target=latest.id if latest else "",
+            target_incarnation=latest.incarnation if latest else 0,
+            target_leaves=condition is Condition.LEAVING,
         )
         if presence == self.last_sent and not force:
             return False
