A key that was deleted while a node was behind is deleted there

Cause, found while the reports of other operators were gone through ('a key that had been withdrawn was in use again'): a node whose records had expired, or that was behind, reads the latest record of each key. The store tells none of a key that was deleted, so that a withdrawn order stayed open on that node.

Change: keys that are known and not among the latest records are passed on as deleted. Test: test_key_that_was_deleted_while_the_node_was_behind_is_deleted; RecordBatch had no sign of such a batch before.

--- a/src/fulmarrudder/platform/store.py
+++ b/src/fulmarrudder/platform/store.py
@@ -80,10 +80,12 @@
     Attributes:
         records: The records, in order of their offsets.
         next_offset: Offset from which to read on.
+        is_latest: Whether these are the latest records of all keys.
     """
 
     records: tuple[KeyedRecord, ...]
     next_offset: int
+    is_latest: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -156,7 +158,9 @@
                 next_offset = end
             if not more:
                 return RecordBatch(
-                    records=tuple(records), next_offset=next_offset
+                    records=tuple(records),
+                    next_offset=next_offset,
+                    is_latest=True,
                 )
             if not page["items"] or records[-1].key in last_keys:
                 raise StoreRejectedError(
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -1,5 +1,6 @@
 """Tails a compacted topic of the store by long polls."""
 
+import dataclasses
 import random
 from collections.abc import Callable
 
@@ -250,6 +251,7 @@
         finally:
             self.receiving = False
         start = self.next_offset
+        batch = self._with_deletions(batch)
         # Skip records that a later record of the same key replaces.
         latest = {record.key: record for record in batch.records}
         passed = sum(self.pass_on(record) for record in latest.values())
@@ -260,6 +262,21 @@
         self.on_answer(start, batch)
         return bool(batch.records)
 
+    def _with_deletions(self, batch: RecordBatch) -> RecordBatch:
+        """Adds the deletions of keys that are no longer among the latest records.
+
+        The store tells no record of a key that was deleted.
+        """
+        if not batch.is_latest:
+            return batch
+        present = {record.key for record in batch.records}
+        deletions = tuple(
+            KeyedRecord(key=key, value=None, offset=batch.next_offset - 1)
+            for key, offset in self.offsets.items()
+            if key not in present and offset < batch.next_offset
+        )
+        return dataclasses.replace(batch, records=batch.records + deletions)
+
     async def _next_batch(self, wait_s: float) -> RecordBatch:
         if self.next_offset < 0:
             return await self.store.read_latest(self.topic)
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -352,3 +352,20 @@
     scene.running.cancel()
     scene.clock.pump([0.5] * 20)
     assert scene.store.reads == [None, 13]
+
+
+# A node that was behind read the latest record of each key, and kept an order that
+# had been withdrawn meanwhile.
+def test_key_that_was_deleted_while_the_node_was_behind_is_deleted(scene):
+    scene.serve(record(3, "rollout/caja"), record(4, "config"), next_offset=5)
+    scene.store.waiting.pop(0).errback(ExpiredError("from"))
+    scene.clock.advance(RETRY_MAX_DELAY_S)
+    latest = RecordBatch(
+        records=(record(9, "config"),), next_offset=10, is_latest=True
+    )
+    scene.store.waiting.pop(0).callback(latest)
+    scene.clock.advance(1.0)
+    deleted = scene.passed[-1]
+    assert (deleted.key, deleted.value) == ("rollout/caja", None)
+    scene.serve(record(10, "rollout/caja"), next_offset=11)
+    assert scene.passed[-1].value == b"{}"
