Methods of data classes are compiled at build

Of the processor time of the imports a sixth is the compilation of some 900 methods that dataclasses generates.

Change: the build writes them to a file beside the package, a start looks them up.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -11,3 +11,4 @@
 rm -rf "$deps/fulmarrudder"
 cp -r src/fulmarrudder "$deps/fulmarrudder"
 python3 -m compileall -q "$deps/fulmarrudder"
+PYTHONPATH="$deps" python3 -m fulmarrudder.classcache fulmarrudder.platform.daemon
