A data centre that is silent is avoided as a whole

Each entry node had to find each endpoint beyond the cut silent by itself, with 80 nodes some seconds between two requests of a pair.

Change: an entry node notes for each other data centre when it was asked first since it was last heard.

--- a/src/fulmarrudder/call/load_balancer.py
+++ b/src/fulmarrudder/call/load_balancer.py
@@ -11,6 +11,7 @@
 import operator
 import random
 
+from fulmarrudder.call.contact import DataCentreContact
 from fulmarrudder.call.endpoint_stats import (
     EWMA_WEIGHT,
     LOAD_REPORT_TTL_S,
@@ -94,6 +95,7 @@
         node: Id of this node, or empty.
         endpoint_stats: Statistics by node id and incarnation.
         answer_bytes: Moving average of the size of answers, by route.
+        contacts: What was last heard of other data centres, by name.
         basis: Why the last endpoint was chosen: `only` one, to `explore`, the
             `nearest` that is fast enough, or of the lowest `cost`.
     """
@@ -112,6 +114,7 @@
         self.endpoint_stats: dict[tuple[str, int], EndpointStats] = {}
         self.events = events or EventLog(Metrics())
         self.answer_bytes: dict[str, float] = {}
+        self.contacts: dict[str, DataCentreContact] = {}
         self.basis = ""
 
     def choose(
@@ -211,6 +214,12 @@
             stats = self.endpoint_stats[key] = EndpointStats(now)
         return stats
 
+    def _contact_with(self, data_centre: str) -> DataCentreContact:
+        contact = self.contacts.get(data_centre)
+        if contact is None:
+            contact = self.contacts[data_centre] = DataCentreContact()
+        return contact
+
     def _distance(self, presence: Presence) -> int:
         if presence.node == self.node:
             return LOCAL_TARGET
@@ -238,7 +247,11 @@
         )
         # A frozen or partitioned node sends no reports, which is detected long
         # before the deadlines of the requests that were sent there.
-        latency_s = max(latency_s, stats.stalled_s(now))
+        latency_s = max(
+            latency_s,
+            stats.stalled_s(now),
+            self._contact_with(presence.data_centre).silence_s(now),
+        )
         age = now - stats.last_failure_at
         failure_rate = stats.failure_rate * math.exp(-age / FAILURE_DECAY_S)
         latency_s *= 1 + FAILURE_PENALTY * failure_rate**2
@@ -337,6 +350,7 @@
             report.service_time_s - stats.service_time_s
         )
         stats.reported_at = stats.awaiting_since = now
+        self._contact_with(presence.data_centre).record_heard()
 
     def record_sent(self, presence: Presence, now: float) -> None:
         """Records that a request was sent."""
@@ -344,6 +358,9 @@
         if not stats.outstanding:
             stats.awaiting_since = now
         stats.outstanding += 1
+        if presence.data_centre != self.data_centre:
+            due_at = now + self.stall_timeout_s(presence, now)
+            self._contact_with(presence.data_centre).record_sent(now, due_at)
 
     def record_finished(
         self,
