The configuration's JSON: document, entry, decoding and config, a filter each

No behaviour changes: tests of configurations, odd entries, the wire and the loader pass as they are but for imports. Four data classes get the doc comment that they lacked.

--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -87,6 +87,8 @@
 
 @dataclasses.dataclass(slots=True)
 class _Waiter:
+    """A request that waits for a slot."""
+
     granted: Deferred
     request: SlotRequest
     timer: object = None
--- a/src/fulmarrudder/call/tally.py
+++ b/src/fulmarrudder/call/tally.py
@@ -10,6 +10,8 @@
 
 @dataclasses.dataclass(slots=True)
 class _Counts:
+    """Counts of one service, target version and route."""
+
     requests: int = 0
     failures: int = 0
     latency_buckets: list[int] = dataclasses.field(
--- a/src/fulmarrudder/log/submit.py
+++ b/src/fulmarrudder/log/submit.py
@@ -27,6 +27,8 @@
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class _Pending:
+    """A submission that waits for its outcome."""
+
     envelope: Envelope
     outcome: Deferred
     deadline: float
--- a/src/fulmarrudder/observe/metrics.py
+++ b/src/fulmarrudder/observe/metrics.py
@@ -24,6 +24,8 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Family:
+    """Kind and description of a metric."""
+
     kind: type
     doc: str
 
--- /dev/null
+++ b/src/fulmarrudder/platform/document.py
@@ -0,0 +1,155 @@
+"""Splits the operator's configuration into entries, and puts it together again.
+
+An entry is a text that stands for itself: one for each route and service, and one for
+the limits.
+"""
+
+import dataclasses
+from collections.abc import Iterator
+
+import msgspec
+from expression import Error, Ok, Result
+
+from fulmarrudder.distribution.entries import Entries
+from fulmarrudder.platform.decoding import (
+    DECODE_ERRORS,
+    Name,
+    Version,
+    decode_value,
+    faults_in_json,
+)
+from fulmarrudder.platform.errors import DocumentError
+
+ROUTE_PREFIX = '{"type":"route"'
+
+
+class _RouteText(msgspec.Struct, tag="route"):
+    hostname: Name
+    path: msgspec.Raw
+
+
+class _ServiceText(msgspec.Struct, tag="service"):
+    name: str
+
+
+class _LimitsText(msgspec.Struct, tag="limits"):
+    pass
+
+
+class _Host(msgspec.Struct):
+    hostname: Name
+    paths: list[msgspec.Raw]
+
+
+class _Document(msgspec.Struct):
+    version: Version
+    hosts: list[_Host] = msgspec.field(name="virtualHosts")
+    services: list[msgspec.Raw]
+    limits: msgspec.Raw
+
+
+class _Head(msgspec.Struct):
+    version: Version
+
+
+_decode_document = msgspec.json.Decoder(_Document, dec_hook=decode_value).decode
+_decode_head = msgspec.json.Decoder(_Head, dec_hook=decode_value).decode
+_decode_texts = msgspec.json.Decoder(
+    _RouteText | _ServiceText | _LimitsText
+).decode
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ConfigText:
+    """A configuration that is split into entries and not parsed.
+
+    Attributes:
+        version: Its version.
+        texts: Texts of the entries.
+    """
+
+    version: int
+    texts: tuple[str, ...]
+
+
+def read_version(data: bytes) -> Result[int, DocumentError]:
+    """Returns the version of a configuration, without parsing the rest."""
+    try:
+        return Ok(_decode_head(data).version)
+    except DECODE_ERRORS as error:
+        return Error(DocumentError(str(error)))
+
+
+def split_config(data: bytes) -> Result[ConfigText, DocumentError]:
+    """Splits a configuration into entries.
+
+    Args:
+        data: JSON.
+
+    Returns:
+        The entries, or what makes the bytes no configuration. The entries may
+        be invalid.
+    """
+    try:
+        document = _decode_document(data)
+        texts = list(_texts_of(document))
+    except DECODE_ERRORS as error:
+        faults = faults_in_json(data, _Document) or [str(error)]
+        return Error(DocumentError("; ".join(faults)))
+    unique = dict.fromkeys(texts)
+    routes = sum(len(host.paths) for host in document.hosts)
+    if routes > sum(text.startswith(ROUTE_PREFIX) for text in unique):
+        return Error(DocumentError("a route is listed twice"))
+    return Ok(ConfigText(version=document.version, texts=tuple(unique)))
+
+
+def _texts_of(document: _Document) -> Iterator[str]:
+    for host in document.hosts:
+        name = msgspec.json.encode(host.hostname).decode()
+        prefix = f'{ROUTE_PREFIX},"hostname":{name},"path":'
+        for path in host.paths:
+            yield f"{prefix}{str(path, 'utf-8')}}}"
+    for service in document.services:
+        yield _tagged("service", str(service, "utf-8"))
+    yield _tagged("limits", str(document.limits, "utf-8"))
+
+
+def _tagged(kind: str, text: str) -> str:
+    """Returns the text of an object with its kind in front."""
+    fields = text.strip().removeprefix("{").lstrip()
+    separator = "" if fields == "}" else ","
+    return f'{{"type":"{kind}"{separator}{fields}'
+
+
+def join_config(version: int, entries: Entries) -> str:
+    """Returns the configuration that consists of some entries, as JSON.
+
+    Args:
+        version: Version of the configuration.
+        entries: Valid entries.
+    """
+    hosts: dict[str, list[msgspec.Raw]] = {}
+    services, limits = [], msgspec.Raw(b"{}")
+    for text in entries.ids:
+        entry = _decode_texts(text)
+        if isinstance(entry, _RouteText):
+            hosts.setdefault(entry.hostname, []).append(entry.path)
+        elif isinstance(entry, _ServiceText):
+            services.append(_untagged("service", text))
+        else:
+            limits = _untagged("limits", text)
+    document = {
+        "version": f"{version:08x}",
+        "services": services,
+        "limits": limits,
+        "virtualHosts": [
+            {"hostname": hostname, "paths": paths}
+            for hostname, paths in hosts.items()
+        ],
+    }
+    return msgspec.json.encode(document).decode()
+
+
+def _untagged(kind: str, text: str) -> msgspec.Raw:
+    fields = text.removeprefix(f'{{"type":"{kind}"').removeprefix(",")
+    return msgspec.Raw(f"{{{fields}".encode())
--- a/src/fulmarrudder/platform/loader.py
+++ b/src/fulmarrudder/platform/loader.py
@@ -24,13 +24,9 @@
 from fulmarrudder.distribution.message import ConfigChange
 from fulmarrudder.node.gossip_node import VersionSource
 from fulmarrudder.observe import logs
-from fulmarrudder.platform.config import (
-    Config,
-    build_config,
-    parse_entries,
-    read_version,
-    split_config,
-)
+from fulmarrudder.platform.config import Config, build_config
+from fulmarrudder.platform.document import read_version, split_config
+from fulmarrudder.platform.entry import parse_entries
 from fulmarrudder.platform.errors import DocumentError
 
 # Entries that are parsed before the loop gets its turn.
--- a/src/fulmarrudder/platform/operator_records.py
+++ b/src/fulmarrudder/platform/operator_records.py
@@ -10,7 +10,8 @@
 from fulmarrudder.node.gossip_node import GossipNode, VersionSource
 from fulmarrudder.node.supervisor import ignore
 from fulmarrudder.observe import logs
-from fulmarrudder.platform.config import Config, join_config
+from fulmarrudder.platform.config import Config
+from fulmarrudder.platform.document import join_config
 from fulmarrudder.platform.errors import StoreError
 from fulmarrudder.platform.loader import ConfigLoader, WholeConfig
 from fulmarrudder.platform.rollout import (
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -7,9 +7,9 @@
 
 from fulmarrudder.distribution.entries import Entries, entries_of
 from fulmarrudder.model import Limits, WeightedService
-from fulmarrudder.platform.config import (
+from fulmarrudder.platform.config import parse_config
+from fulmarrudder.platform.document import (
     join_config,
-    parse_config,
     read_version,
     split_config,
 )
--- a/tests/platform/test_loader.py
+++ b/tests/platform/test_loader.py
@@ -10,7 +10,7 @@
 from fulmarrudder.distribution.entries import change_between
 from fulmarrudder.node.gossip_node import VersionSource
 from fulmarrudder.platform import loader as loader_module
-from fulmarrudder.platform.config import join_config
+from fulmarrudder.platform.document import join_config
 from fulmarrudder.platform.loader import ConfigLoader, WholeConfig
 from tests.platform.test_config import CONFIG
 
