Texts that are no entry are refused, not raised

A change from another node may hold any text; one that is not an object, or names no kind, raised in the listing of its faults and cost the loader's turn. Test: test_text_that_is_no_entry_is_refused failed for three of seven texts before.

--- a/src/fulmarrudder/platform/entry.py
+++ b/src/fulmarrudder/platform/entry.py
@@ -147,7 +147,9 @@
         value = msgspec.json.decode(text)
     except DECODE_ERRORS:
         return []
-    kind = _ENTRY_KINDS.get(value.get("type"))
+    if not isinstance(value, dict) or not isinstance(value.get("type"), str):
+        return []
+    kind = _ENTRY_KINDS.get(value["type"])
     if kind is None:
         return []
     place = value.get("hostname") or value.get("name") or "limits"
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -13,6 +13,7 @@
     read_version,
     split_config,
 )
+from fulmarrudder.platform.entry import parse_entries
 
 CONFIG = {
     "version": "0000000c",
@@ -136,3 +137,11 @@
     assert read_version(joined).ok == 12
     assert entries_of(split_config(joined).ok.texts, Entries()) == entries
     assert parse_config(joined) == parse_config(json.dumps(CONFIG).encode())
+
+
+@pytest.mark.parametrize(
+    "text",
+    ["", "5", "[]", "{}", '{"type":[]}', '{"type":"host"}', "[" * 5_000],
+)
+def test_text_that_is_no_entry_is_refused(text):
+    assert parse_entries([text]).is_error()
