Requests that come while a node starts wait for what it is about to know

A refusal at once cost each caller its one retry.

Change: for 2 s after its start a node holds a request, 0.5 s at most, until it has a configuration and knows a target of the service; then it is served, or refused as now (call/start). After the start it is refused at once.

--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -68,6 +68,7 @@
 from fulmarrudder.call.sanitizer import sanitize_request
 from fulmarrudder.call.sender import Reply, Sender, StallCause
 from fulmarrudder.call.slots import MIN_RETRY_AFTER_S, likely_late
+from fulmarrudder.call.start import StartGate
 from fulmarrudder.call.upstream import ConnectionPool
 from fulmarrudder.call.version_split import eligible_versions
 from fulmarrudder.clock import Clock, wall_seconds
@@ -121,6 +122,7 @@
         balancer: Selects endpoints.
         sender: Sends calls to other nodes.
         report: Reports decisions as events.
+        start_gate: Holds calls while the node starts.
         stop_deadline: Clock seconds by which every call is answered, as the
             node stops then; infinite while it does not stop.
     """
@@ -165,6 +167,7 @@
         )
         self.active_config = ActiveConfig()
         self.freshness = ConfigFreshness()
+        self.start_gate = StartGate(clock)
         self.stop_deadline = math.inf
         self.steps = (
             sanitize_request,
@@ -192,6 +195,7 @@
         """
         arrived_at = self.clock.seconds()
         requested_timeout = head.headers.get(self.header_names.caller_timeout)
+        await self.start_gate.hold(lambda: self.active_config.table is not None)
         routed = run_steps(head, self.steps, Refusal)
         if isinstance(routed, Refusal):
             return refusal_answer(routed)
@@ -210,6 +214,9 @@
         if isinstance(call, Refusal):
             return refusal_answer(call)
         call.deadline = min(call.deadline, self.stop_deadline)
+        await self.start_gate.hold(
+            lambda: bool(self.facts.endpoints_of(call.service))
+        )
         send_continue()
         prefix = b""
         if not body.ended:
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -25,6 +25,7 @@
     RouteChange,
     RouteTable,
 )
+from fulmarrudder.call.start import START_S
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.distribution import Dialer, Document, Gossip
 from fulmarrudder.distribution.message import ConfigChange, SourceUpdate
@@ -255,6 +256,7 @@
             calling_service=lambda: self.settings.service,
             events=self.events,
         )
+        self.entry.start_gate.until = reactor.seconds() + START_S
         self.calls = CallFactory(
             clock=reactor,
             entry=self.entry,
@@ -381,6 +383,7 @@
         )
         self.entry.freshness.activated_at = now
         self.gossip.tell_version()
+        self.entry.start_gate.notify()
 
     def confirm_version(self) -> None:
         """Records that the source of versions has answered."""
@@ -581,6 +584,7 @@
         if not isinstance(fact, Presence):
             return
         self._log_presence(fact)
+        self.entry.start_gate.notify()
         if fact.condition is Condition.LOST:
             self.entry.sender.node_lost(fact.node)
         if (
--- a/tests/observe/test_metrics.py
+++ b/tests/observe/test_metrics.py
@@ -9,6 +9,7 @@
 
 from fulmarrudder.call.ending import Ending
 from fulmarrudder.call.message import Ran, RefusalReason
+from fulmarrudder.call.retry import RetryDecision
 from fulmarrudder.node.admin import collect_gauges
 from fulmarrudder.observe import Metrics, Sample
 from fulmarrudder.observe.metrics import FAMILIES
@@ -66,3 +67,8 @@
 def test_labels_of_refusals_stay(snapshot):
     for name, kind in (("reason", RefusalReason), ("ran", Ran)):
         assert [label.value for label in kind] == snapshot(name=name)
+
+
+def test_labels_of_decisions_stay(snapshot):
+    labels = [decision.value for decision in RetryDecision]
+    assert labels == snapshot(name="next")
