--- a/src/fulmarrudder/membership/store.py
+++ b/src/fulmarrudder/membership/store.py
@@ -54,9 +54,7 @@
         Returns:
             Whether the store has changed.
         """
-        if isinstance(fact, Presence):
-            self.departures.note(fact, now)
-            fact = self.departures.correct(fact, now)
+        fact = _corrected(fact, self.departures, now)
         key = key_of(fact)
         previous = self.facts.get(key)
         if previous is not None and precedence_of(fact) <= precedence_of(
@@ -176,6 +174,18 @@
                     self.discard(FactKey(kind="presence", name=name))
 
 
+@singledispatch
+def _corrected(fact: Fact, departures: Departures, now: float) -> Fact:
+    """Returns a fact as it counts, by what was told of departures."""
+    return fact
+
+
+@_corrected.register
+def _(fact: Presence, departures: Departures, now: float) -> Fact:
+    departures.note(fact, now)
+    return departures.correct(fact, now)
+
+
 @singledispatch
 def _index(fact: Fact, store: FactStore, previous, now: float) -> None:
     """Adds a fact to the indexes of a store."""
--- a/src/fulmarrudder/platform/document.py
+++ b/src/fulmarrudder/platform/document.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 from collections.abc import Iterator
 
 import msgspec
@@ -128,28 +129,59 @@
         version: Version of the configuration.
         entries: Valid entries.
     """
-    hosts: dict[str, list[msgspec.Raw]] = {}
-    services, limits = [], msgspec.Raw(b"{}")
+    parts = _DocumentParts()
     for text in entries.ids:
-        entry = _decode_texts(text)
-        if isinstance(entry, _RouteText):
-            hosts.setdefault(entry.hostname, []).append(entry.path)
-        elif isinstance(entry, _ServiceText):
-            services.append(_untagged("service", text))
-        else:
-            limits = _untagged("limits", text)
+        _collect(_decode_texts(text), text, parts)
     document = {
         "version": f"{version:08x}",
-        "services": services,
-        "limits": limits,
+        "services": parts.services,
+        "limits": parts.limits,
         "virtualHosts": [
             {"hostname": hostname, "paths": paths}
-            for hostname, paths in hosts.items()
+            for hostname, paths in parts.hosts.items()
         ],
     }
     return msgspec.json.encode(document).decode()
 
 
+@dataclasses.dataclass(slots=True, kw_only=True)
+class _DocumentParts:
+    """Parts of a document that is being put together.
+
+    Attributes:
+        hosts: Routes by host.
+        services: The services.
+        limits: The limits.
+    """
+
+    hosts: dict[str, list[msgspec.Raw]] = dataclasses.field(
+        default_factory=dict
+    )
+    services: list[msgspec.Raw] = dataclasses.field(default_factory=list)
+    limits: msgspec.Raw | None = None
+
+
+@functools.singledispatch
+def _collect(entry: msgspec.Struct, text: str, parts: _DocumentParts) -> None:
+    """Adds an entry to the parts of a document."""
+    raise TypeError(type(entry).__name__)
+
+
+@_collect.register
+def _(entry: _RouteText, text: str, parts: _DocumentParts) -> None:
+    parts.hosts.setdefault(entry.hostname, []).append(entry.path)
+
+
+@_collect.register
+def _(entry: _ServiceText, text: str, parts: _DocumentParts) -> None:
+    parts.services.append(_untagged("service", text))
+
+
+@_collect.register
+def _(entry: _LimitsText, text: str, parts: _DocumentParts) -> None:
+    parts.limits = _untagged("limits", text)
+
+
 def _untagged(kind: str, text: str) -> msgspec.Raw:
     fields = text.removeprefix(f'{{"type":"{kind}"').removeprefix(",")
     return msgspec.Raw(f"{{{fields}".encode())
--- a/src/fulmarrudder/platform/loader.py
+++ b/src/fulmarrudder/platform/loader.py
@@ -98,20 +98,23 @@
 
     def offer(self, received: WholeConfig | ConfigChange) -> None:
         """Takes a configuration in; ends at once if little of it is new."""
-        if isinstance(received, WholeConfig):
-            self._discard_overtaken(received.source)
+        self._discard_overtaken(received)
         self.waiting.append(received)
         if not self.running:
             self.running = True
             ensureDeferred(self._run()).addErrback(self._failed)
 
-    def _discard_overtaken(self, source: VersionSource) -> None:
-        """Discards whole documents of the same source; this one is newer."""
+    @singledispatchmethod
+    def _discard_overtaken(self, received: ConfigChange) -> None:
+        """Discards what waits and is not needed after what was received."""
+
+    @_discard_overtaken.register
+    def _(self, received: WholeConfig) -> None:
+        # Documents of one source come in the order of their versions.
         kept = [
-            received
-            for received in self.waiting
-            if not isinstance(received, WholeConfig)
-            or received.source is not source
+            other
+            for other in self.waiting
+            if getattr(other, "source", None) is not received.source
         ]
         self.waiting.clear()
         self.waiting.extend(kept)
