--- a/src/fulmarrudder/membership/__init__.py
+++ b/src/fulmarrudder/membership/__init__.py
@@ -5,6 +5,7 @@
     LocalTarget,
     parse_announcement,
 )
+from fulmarrudder.membership.departures import DepartedTarget
 from fulmarrudder.membership.digest import (
     Digest,
     format_digest,
@@ -21,6 +22,7 @@
 __all__ = [
     "Announcement",
     "AnnouncementError",
+    "DepartedTarget",
     "Digest",
     "DigestError",
     "LocalTarget",
--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -12,6 +12,7 @@
 
 from fulmarrudder.address import Address
 from fulmarrudder.clock import Clock
+from fulmarrudder.membership.departures import DepartedTarget
 from fulmarrudder.membership.errors import AnnouncementError
 from fulmarrudder.model import Condition
 from fulmarrudder.observe import logs
@@ -91,9 +92,10 @@
         deadline: Clock seconds after which the target is absent.
         unreachable: Whether the target has refused a connection since its
             latest announcement.
-        departed_id: Id of the target that left last without having been
-            announced to this process, or empty.
-        departed_incarnation: Latest incarnation of it that may have left.
+        departed: The target that left last without having been announced to
+            this process, or None.
+        unconfirmed_until: Clock seconds until which a ready target counts as
+            absent: it may have left beside an earlier start of the node.
         slot_limit: Slots that the node offers to others at most.
     """
 
@@ -108,8 +110,8 @@
         self.latest: Announcement | None = None
         self.deadline = 0.0
         self.unreachable = False
-        self.departed_id = ""
-        self.departed_incarnation = 0
+        self.departed: DepartedTarget | None = None
+        self.unconfirmed_until = 0.0
         self.slot_limit = math.inf
 
     @property
@@ -134,15 +136,17 @@
             )
         )
 
-    def depart(self, target: str, incarnation: int) -> None:
-        """Records that a target leaves which may be announced only later.
+    def depart(self, departed: DepartedTarget) -> None:
+        """Records that a target leaves which may be announced only later."""
+        self.departed = departed
 
-        Args:
-            target: Id of the target.
-            incarnation: Its latest incarnation that may have left.
-        """
-        self.departed_id = target
-        self.departed_incarnation = incarnation
+    @property
+    def latest_departed(self) -> DepartedTarget | None:
+        """The target that left last, as far as this process knows."""
+        latest = self.latest
+        if latest is not None and latest.condition is Condition.LEAVING:
+            return DepartedTarget(id=latest.id, incarnation=latest.incarnation)
+        return self.departed
 
     def update(self, announcement: Announcement) -> bool:
         """Stores an announcement if it is the newest.
@@ -181,12 +185,15 @@
             return Condition.ABSENT
         if self.clock.seconds() > self.deadline:
             return Condition.ABSENT
-        return self.latest.condition
+        condition = self.latest.condition
+        if condition is not Condition.READY:
+            return condition
+        is_confirmed = self.clock.seconds() >= self.unconfirmed_until
+        return condition if is_confirmed else Condition.ABSENT
 
     def _has_departed(self, announcement: Announcement) -> bool:
-        return (
-            announcement.id == self.departed_id
-            and announcement.incarnation <= self.departed_incarnation
+        return self.departed is not None and self.departed.covers(
+            announcement.id, announcement.incarnation
         )
 
 
--- a/src/fulmarrudder/membership/departures.py
+++ b/src/fulmarrudder/membership/departures.py
@@ -12,6 +12,23 @@
 DEPARTURE_TTL_S = 60.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class DepartedTarget:
+    """A target that has told its node that it leaves.
+
+    Attributes:
+        id: Id of the target.
+        incarnation: Its latest incarnation that may have left.
+    """
+
+    id: str
+    incarnation: int
+
+    def covers(self, target: str, incarnation: int) -> bool:
+        """Returns whether an incarnation of a target is one that has left."""
+        return target == self.id and incarnation <= self.incarnation
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Departure:
     """What a node has told of its target.
--- a/src/fulmarrudder/node/errors.py
+++ b/src/fulmarrudder/node/errors.py
@@ -19,3 +19,7 @@
 
 class UnconfirmedError(NodeError):
     """The status of a move is not known to be recorded; it may be."""
+
+
+class DepartureRecordError(NodeError):
+    """The departure of the local target could not be recorded."""
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -12,7 +12,7 @@
 import random
 from collections.abc import Callable
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, succeed
 
 from fulmarrudder.call import (
     ActiveConfig,
@@ -29,7 +29,12 @@
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.distribution import Dialer, Document, Gossip
 from fulmarrudder.distribution.message import ConfigChange, SourceUpdate
-from fulmarrudder.membership import Announcement, FactStore, LocalTarget
+from fulmarrudder.membership import (
+    Announcement,
+    DepartedTarget,
+    FactStore,
+    LocalTarget,
+)
 from fulmarrudder.model import (
     Arrangement,
     Condition,
@@ -96,6 +101,11 @@
     link_bytes_per_s: float = math.inf
 
 
+def _keep_nowhere(departed: DepartedTarget) -> Deferred:
+    """Records nothing; for nodes without a store."""
+    return succeed(None)
+
+
 class VersionSource(enum.Enum):
     """Where a node has a configuration version from."""
 
@@ -138,6 +148,8 @@
         is_receiving: Callable[[], bool] = bool,
         on_source_update: Callable[[SourceUpdate], None] = ignore,
         on_change: Callable[[ConfigChange], None] = ignore,
+        record_departure: Callable[[DepartedTarget], Deferred] = _keep_nowhere,
+        is_first_start: bool = True,
     ):
         """Builds a node.
 
@@ -162,6 +174,10 @@
                 source.
             on_change: Applies a change of the configuration that another node
                 tells.
+            record_departure: Records the departure of the local target; fires
+                once a restart of all nodes doesn't lose it, or once that has
+                taken too long.
+            is_first_start: Whether no departure was recorded before.
         """
         self.settings = settings
         self.clock = reactor
@@ -200,12 +216,15 @@
             call_address=settings.host_address,
             mesh_address=settings.mesh_address,
         )
+        self.record_departure = record_departure
         self.presence_broadcaster = PresenceBroadcaster(
             own, self.local_target, lambda p: self.gossip.broadcast(p)
         )
         self.evidence_sequence = 0
         self.found_peers = False
         self.discovery_deadline = reactor.seconds() + DISCOVERY_TIMEOUT_S
+        if not is_first_start:
+            self.local_target.unconfirmed_until = self.discovery_deadline
         self.gossip = Gossip(
             clock=reactor,
             rng=rng,
@@ -407,30 +426,72 @@
         self.move_requests.remove(service)
         self._sync_moves()
 
-    def apply_announcement(self, announcement: Announcement) -> None:
-        """Applies an announcement of the local target."""
+    def apply_announcement(self, announcement: Announcement) -> Deferred:
+        """Applies an announcement of the local target.
+
+        Returns:
+            Deferred that fires once it may be acknowledged.
+        """
         if self.local_target.update(announcement):
             self.host.apply_announcement()
             self.refresh_presence()
+        if announcement.condition is Condition.LEAVING:
+            return self._keep_departure()
+        return succeed(None)
+
+    def target_leaves(self) -> Deferred:
+        """Handles that the local target has told that it is leaving.
 
-    def target_leaves(self) -> None:
-        """Handles that the local target has told that it is leaving."""
+        Returns:
+            Deferred that fires once it may be acknowledged.
+        """
         if self.local_target.leave():
             self.host.apply_announcement()
             self.refresh_presence()
+        return self._keep_departure()
+
+    def unknown_target_leaves(self, departed: DepartedTarget) -> Deferred:
+        """Handles that a target leaves that was not announced to this process.
+
+        Returns:
+            Deferred that fires once it may be acknowledged.
+        """
+        self.local_target.depart(departed)
+        return self._keep_departure()
 
     def recall_departure(self, told: Presence) -> None:
-        """Handles that the local target left beside an earlier start.
+        """Handles that another node tells of an earlier departure.
 
         Args:
             told: This node's presence then.
         """
-        self.local_target.depart(told.target, told.target_incarnation)
+        self._recall(
+            DepartedTarget(id=told.target, incarnation=told.target_incarnation)
+        )
+
+    def confirm_target(self, recorded: DepartedTarget | None) -> None:
+        """Handles that the recorded departure was read after a start.
+
+        Args:
+            recorded: The target that left last beside earlier starts, or None.
+        """
+        if recorded is not None and self.local_target.departed is None:
+            self._recall(recorded)
+        self.local_target.unconfirmed_until = 0.0
+        self.refresh_presence()
+
+    def _recall(self, departed: DepartedTarget) -> None:
+        self.local_target.depart(departed)
         latest = self.local_target.latest
-        if latest is None or latest.id != told.target:
+        if latest is None or not departed.covers(latest.id, latest.incarnation):
             return
-        if latest.incarnation <= told.target_incarnation:
-            self.target_leaves()
+        if self.local_target.leave():
+            self.host.apply_announcement()
+            self.refresh_presence()
+
+    def _keep_departure(self) -> Deferred:
+        departed = self.local_target.latest_departed
+        return self.record_departure(departed) if departed else succeed(None)
 
     def open_moves(self) -> tuple[Move, ...]:
         """Returns the moves that have no recorded result yet."""
--- /dev/null
+++ b/src/fulmarrudder/node/recorder.py
@@ -0,0 +1,85 @@
+"""Records the departure of the local target where a restart doesn't lose it."""
+
+from collections.abc import Callable, Coroutine
+
+from twisted.internet.defer import Deferred, TimeoutError, succeed
+
+from fulmarrudder.clock import Clock
+from fulmarrudder.membership import DepartedTarget
+from fulmarrudder.node.errors import DepartureRecordError
+from fulmarrudder.observe import logs
+
+# A target expects its acknowledgement within a second.
+RECORD_TIMEOUT_S = 0.6
+
+
+class DepartureRecorder:
+    """Records departures; tries again until the latest one is recorded.
+
+    Attributes:
+        write: Writes a departure; raises `DepartureRecordError`.
+        departed: The latest departure, or None.
+        recorded: The latest departure that was recorded, or None.
+        waiting: Deferreds that fire once the latest departure is recorded.
+        run: Starts the task that calls `write_latest`; set once it is built.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        write: Callable[[DepartedTarget], Coroutine],
+    ):
+        self.clock = clock
+        self.write = write
+        self.departed: DepartedTarget | None = None
+        self.recorded: DepartedTarget | None = None
+        self.waiting: list[Deferred] = []
+        self.run: Callable[[], None] = lambda: None
+
+    def record(self, departed: DepartedTarget) -> Deferred:
+        """Records a departure.
+
+        Returns:
+            Deferred that fires with whether the departure is recorded, after
+            `RECORD_TIMEOUT_S` at the latest.
+        """
+        self.departed = departed
+        if departed == self.recorded:
+            return succeed(True)
+        waiting = Deferred()
+        self.waiting.append(waiting)
+        waiting.addTimeout(RECORD_TIMEOUT_S, self.clock)
+        waiting.addErrback(self._timed_out, departed)
+        self.run()
+        return waiting
+
+    def recall(self, recorded: DepartedTarget | None) -> None:
+        """Handles that the departure recorded before a start was read."""
+        if self.departed is None:
+            self.departed = self.recorded = recorded
+
+    def write_latest(self) -> Coroutine | None:
+        """Returns a coroutine that writes what is not recorded yet, if any."""
+        return None if self.departed == self.recorded else self._write_latest()
+
+    async def _write_latest(self) -> None:
+        while self.departed != self.recorded:
+            departed = self.departed
+            try:
+                await self.write(departed)
+            except DepartureRecordError as error:
+                logs.warning(
+                    "departure-not-recorded", target=departed.id, detail=error
+                )
+                return
+            self.recorded = departed
+            logs.info("departure-recorded", target=departed.id)
+        waiting, self.waiting = self.waiting, []
+        for deferred in waiting:
+            if not deferred.called:
+                deferred.callback(True)
+
+    def _timed_out(self, failure, departed: DepartedTarget) -> bool:
+        failure.trap(TimeoutError)
+        logs.warning("departure-record-late", target=departed.id)
+        return False
--- a/src/fulmarrudder/pages.py
+++ b/src/fulmarrudder/pages.py
@@ -4,6 +4,7 @@
 import than all of `twisted.web.http`.
 """
 
+from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.logger import Logger
 from twisted.web.http import HTTPFactory, Request, datetimeToString
 
@@ -18,7 +19,7 @@
     """A page; each method of requests that it serves is a method of its own.
 
     Those are `render_GET` and `render_POST`. They get the request, whose status
-    they may set, and return the body of the answer.
+    they may set, and return the body of the answer or a Deferred of it.
 
     Attributes:
         allowed: The methods of requests that it serves.
@@ -28,14 +29,14 @@
     allowed = b"GET, HEAD"
     content_type = b"text/plain"
 
-    def render(self, request) -> bytes:
+    def render(self, request) -> bytes | Deferred:
         """Answers a request.
 
         Args:
             request: The request, whose body has been received.
 
         Returns:
-            The body of the answer.
+            The body of the answer, or a Deferred of it.
         """
         method = b"GET" if request.method == b"HEAD" else request.method
         render = getattr(self, f"render_{method.decode('latin-1')}", None)
@@ -47,19 +48,35 @@
 
 
 class _PageRequest(BoundedBody, Request):
-    """A request to a `PageFactory`."""
+    """A request to a `PageFactory`.
+
+    Attributes:
+        is_closed: Whether the connection was lost before the answer.
+    """
+
+    is_closed = False
 
     def process(self):
         """Answers the request, which has been received."""
         page = self.channel.factory.page
         self.setHeader(b"date", datetimeToString())
         self.setHeader(b"content-type", page.content_type)
-        try:
-            body = page.render(self)
-        except Exception:
-            LOGGER.failure("page")
-            self.setResponseCode(500)
-            body = FAULT
+        self.notifyFinish().addErrback(self._close)
+        maybeDeferred(page.render, self).addErrback(self._fail).addCallback(
+            self._answer
+        )
+
+    def _close(self, _failure) -> None:
+        self.is_closed = True
+
+    def _fail(self, failure) -> bytes:
+        LOGGER.failure("page", failure)
+        self.setResponseCode(500)
+        return FAULT
+
+    def _answer(self, body: bytes) -> None:
+        if self.is_closed:
+            return
         self.setHeader(b"content-length", b"%d" % len(body))
         self.write(body)
         self.finish()
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -21,6 +21,7 @@
     GossipNode,
     GossipNodeSettings,
 )
+from fulmarrudder.node.recorder import DepartureRecorder
 from fulmarrudder.observe import logs
 from fulmarrudder.platform.directory import Directory
 from fulmarrudder.platform.errors import StoreError
@@ -60,6 +61,8 @@
 DIRECTORY_REFRESH_S = 20.0
 # The same of all other nodes.
 RARE_DIRECTORY_REFRESH_S = 120.0
+# Pause before a departure is recorded again, after a write that failed.
+DEPARTURES_PERIOD_S = 1.0
 # Pause before the results of moves are read again, after a read that failed.
 RESULTS_PERIOD_S = 1.0
 SETTINGS_CHECK_PERIOD_S = 1.0
@@ -105,6 +108,10 @@
         name = f"{settings.node}/{incarnation}"
         self.operator_records = OperatorRecords(None, reactor)
         self.lease = GroupLease(None, reactor, name, self._catch_up)
+        self.departures = DepartureRecorder(
+            reactor,
+            lambda departed: self.directory.record_departure(departed),
+        )
         self.node = GossipNode(
             _node_settings_of(settings),
             reactor=reactor,
@@ -126,6 +133,8 @@
             is_receiving=lambda: self.tail.receiving,
             on_source_update=lambda update: self.follower.receive(update),
             on_change=self.operator_records.apply_change,
+            record_departure=self.departures.record,
+            is_first_start=settings.first_start,
         )
         self.supervisor = self.node.supervisor
         self.store = StoreClient(
@@ -195,6 +204,9 @@
         self.move_results_task = every(
             RESULTS_PERIOD_S, "move-results", self._load_move_results
         )
+        self.departures.run = every(
+            DEPARTURES_PERIOD_S, "departures", self.departures.write_latest
+        ).run
         self.supervisor.keep_running("store-records", self.tail.run)
         node.start()
         every(TICK_PERIOD_S, "lease", self._tick_lease)
@@ -249,6 +261,9 @@
         for peer in peers:
             if peer.node != self.settings.node:
                 self.node.gossip.directory_peers[peer.node] = peer
+        if not self.read_directory_at:
+            self.departures.recall(self.directory.departed)
+            self.node.confirm_target(self.directory.departed)
         self.read_directory_at = self.reactor.seconds()
         self.next_search_at = self.read_directory_at + DIRECTORY_RETRY_S
         self.node.gossip.reconcile()
--- a/src/fulmarrudder/platform/http.py
+++ b/src/fulmarrudder/platform/http.py
@@ -2,7 +2,9 @@
 
 import dataclasses
 
-from fulmarrudder.membership import Announcement
+from twisted.internet.defer import Deferred
+
+from fulmarrudder.membership import Announcement, DepartedTarget
 from fulmarrudder.node.gossip_node import GossipNode
 from fulmarrudder.observe import logs
 from fulmarrudder.pages import Page, PageFactory
@@ -70,10 +72,12 @@
             )
             request.setResponseCode(400)
             return b"{}"
-        self.node.apply_announcement(self._with_incarnation(parsed.ok))
-        return ACKNOWLEDGEMENT
+        applied = self.node.apply_announcement(
+            self._with_incarnation(parsed.ok)
+        )
+        return applied.addCallback(lambda _: ACKNOWLEDGEMENT)
 
-    def _deregister(self, target: str) -> bytes:
+    def _deregister(self, target: str) -> Deferred:
         latest = self.node.local_target.latest
         is_known = latest is not None and latest.id == target
         logs.info("target-deregistered", target=target, known=is_known)
@@ -81,10 +85,12 @@
             # This process may have started after the target's last heartbeat,
             # and another one may be on its way.
             now_ms = int(self.node.wall() * 1000)
-            self.node.local_target.depart(target, now_ms)
-            return ACKNOWLEDGEMENT
-        self.node.target_leaves()
-        return ACKNOWLEDGEMENT
+            left = self.node.unknown_target_leaves(
+                DepartedTarget(id=target, incarnation=now_ms)
+            )
+        else:
+            left = self.node.target_leaves()
+        return left.addCallback(lambda _: ACKNOWLEDGEMENT)
 
     def _with_incarnation(self, announcement: Announcement) -> Announcement:
         if announcement.incarnation:
--- /dev/null
+++ b/tests/platform/test_departures.py
@@ -0,0 +1,203 @@
+"""Departures of targets outlive a restart of all nodes."""
+
+import json
+
+import pytest
+from twisted.internet.defer import Deferred, succeed
+
+from fulmarrudder.model import Condition
+from fulmarrudder.node import gossip_node
+from fulmarrudder.node.gossip_node import DISCOVERY_TIMEOUT_S
+from fulmarrudder.node.recorder import RECORD_TIMEOUT_S
+from fulmarrudder.platform.daemon import DEPARTURES_PERIOD_S, Daemon
+from fulmarrudder.platform.directory import TOPIC
+from fulmarrudder.platform.errors import StoreUnavailableError
+from fulmarrudder.platform.http import HeartbeatResource
+from fulmarrudder.platform.settings import parse_machine_settings
+from fulmarrudder.platform.store import RecordBatch
+from tests.platform.test_http import request_page, send_heartbeat
+from tests.platform.test_settings import SETTINGS
+from tests.platform.test_task_faults import Pool, Reactor
+
+TICK_S = 0.25
+
+
+class FakeStore:
+    """The newest records of the directory; other topics have none.
+
+    Attributes:
+        answering: Whether calls are answered; others fail.
+        holding: Whether appends are answered only by `release`.
+    """
+
+    def __init__(self):
+        self.newest = {}
+        self.answering = True
+        self.holding = False
+        self.held = []
+        self.appends = 0
+
+    async def append(self, topic, record, **_):
+        if topic != TOPIC:
+            return
+        self.appends += 1
+        if not self.answering:
+            raise StoreUnavailableError("503")
+        answer = Deferred() if self.holding else succeed(None)
+        self.held.append(answer)
+        await answer
+        self.newest[record.key] = record
+
+    def release(self):
+        self.holding = False
+        for answer in self.held:
+            if not answer.called:
+                answer.callback(None)
+
+    async def read_latest(self, topic, **_):
+        if not self.answering:
+            raise StoreUnavailableError("503")
+        found = tuple(self.newest.values()) if topic == TOPIC else ()
+        return RecordBatch(records=found, next_offset=1, is_latest=True)
+
+    async def read(self, topic, start, wait_s, **_):
+        raise StoreUnavailableError("503")
+
+    async def read_end(self, topic):
+        raise StoreUnavailableError("503")
+
+    async def join_group(self, *_, **__):
+        raise StoreUnavailableError("503")
+
+
+class Scene:
+    """A node that restarts, and the store."""
+
+    def __init__(self, folder):
+        self.path = folder / "settings.json"
+        self.store = FakeStore()
+        self.starts = 0
+        self.daemon = None
+        self.restart()
+
+    def restart(self):
+        """Starts the node; no other node remembers anything."""
+        settings = {**SETTINGS, "bootstrap": not self.starts}
+        self.starts += 1
+        self.path.write_text(json.dumps(settings))
+        parsed = parse_machine_settings(self.path.read_text()).ok
+        self.daemon = Daemon(parsed, self.path, Reactor())
+        for name in ("directory", "operator_records", "lease", "tail"):
+            getattr(self.daemon, name).store = self.store
+        self.daemon.start()
+
+    @property
+    def condition(self):
+        return self.daemon.node.local_target.condition
+
+    def pass_time(self, seconds):
+        self.daemon.reactor.pump([TICK_S] * int(seconds / TICK_S))
+
+    def deregister(self):
+        path = b"/-/instances/i-1/deregister"
+        return request_page(HeartbeatResource(self.daemon.node), path, b"")[1]
+
+
+@pytest.fixture
+def scene(tmp_path, monkeypatch):
+    monkeypatch.setattr(gossip_node, "ConnectionPool", Pool)
+    scene = Scene(tmp_path)
+    scene.pass_time(1.0)
+    send_heartbeat(scene.daemon.node, 1)
+    assert scene.condition is Condition.READY
+    return scene
+
+
+def leave_by_deregistration(scene):
+    scene.deregister()
+
+
+def leave_by_heartbeat(scene):
+    send_heartbeat(scene.daemon.node, 2, state="draining")
+
+
+def leave_unannounced(scene):
+    scene.restart()
+    scene.deregister()
+
+
+# A target that had left was used again: all nodes were killed at once, and a heartbeat
+# that it had sent before came late.
+@pytest.mark.parametrize(
+    "leave", [leave_by_deregistration, leave_by_heartbeat, leave_unannounced]
+)
+@pytest.mark.parametrize("restarts", [1, 2])
+def test_target_that_left_before_all_nodes_restarted_stays_leaving(
+    scene, leave, restarts
+):
+    leave(scene)
+    for _ in range(restarts):
+        scene.restart()
+        scene.pass_time(1.0)
+    send_heartbeat(scene.daemon.node, 1)
+    assert scene.condition is Condition.LEAVING
+
+
+# The same while the store is away after the restart: the heartbeat comes first.
+def test_late_heartbeat_is_not_trusted_before_the_departure_is_read(scene):
+    scene.deregister()
+    scene.store.answering = False
+    scene.restart()
+    send_heartbeat(scene.daemon.node, 1)
+    assert scene.condition is Condition.ABSENT
+    scene.store.answering = True
+    scene.pass_time(2.0)
+    assert scene.condition is Condition.LEAVING
+
+
+def test_target_is_used_without_the_store_after_a_while(scene):
+    scene.store.answering = False
+    scene.restart()
+    send_heartbeat(scene.daemon.node, 2)
+    assert scene.condition is Condition.ABSENT
+    scene.pass_time(DISCOVERY_TIMEOUT_S + TICK_S)
+    assert scene.condition is Condition.READY
+
+
+def test_next_target_is_ready_after_a_restart(scene):
+    scene.deregister()
+    scene.restart()
+    scene.pass_time(1.0)
+    send_heartbeat(scene.daemon.node, 1, born=2000)
+    assert scene.condition is Condition.READY
+
+
+def test_departure_is_acknowledged_once_it_is_recorded(scene):
+    scene.store.holding = True
+    answer = scene.deregister()
+    assert scene.condition is Condition.LEAVING
+    assert not answer.called
+    scene.store.release()
+    assert answer.result == b"{}"
+
+
+# A target awaits its acknowledgement for a second, whatever the store does.
+def test_departure_is_acknowledged_in_time_while_the_store_is_away(scene):
+    scene.store.answering = False
+    answer = scene.deregister()
+    scene.daemon.reactor.advance(RECORD_TIMEOUT_S)
+    assert answer.result == b"{}"
+    scene.store.answering = True
+    scene.pass_time(2 * DEPARTURES_PERIOD_S)
+    scene.restart()
+    scene.pass_time(1.0)
+    send_heartbeat(scene.daemon.node, 1)
+    assert scene.condition is Condition.LEAVING
+
+
+def test_departure_is_recorded_once(scene):
+    before = scene.store.appends
+    for sequence in range(2, 6):
+        send_heartbeat(scene.daemon.node, sequence, state="draining")
+        scene.pass_time(1.5)
+    assert scene.store.appends == before + 1
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -5,7 +5,7 @@
 import random
 
 import pytest
-from twisted.internet.defer import succeed
+from twisted.internet.defer import Deferred, succeed
 from twisted.internet.task import Clock
 from twisted.web.test.requesthelper import DummyRequest
 
@@ -69,7 +69,10 @@
     if body is None:
         return request, resource.render_GET(request)
     request.content = io.BytesIO(body)
-    return request, resource.render_POST(request)
+    answer = resource.render_POST(request)
+    if isinstance(answer, Deferred) and answer.called:
+        answer = answer.result
+    return request, answer
 
 
 def send_heartbeat(node, sequence, state="ready", born=1000, target="i-1"):
--- a/tests/platform/test_task_faults.py
+++ b/tests/platform/test_task_faults.py
@@ -44,6 +44,7 @@
     "lease",
     "lease-records",
     "config-from-peers",
+    "departures",
     "directory",
     "move-results",
     "settings",
