--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -4,7 +4,7 @@
 import functools
 import math
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from twisted.internet.defer import CancelledError, TimeoutError
 
@@ -103,10 +103,15 @@
     Attributes:
         state: The replicated state, or None before the first one.
         table: Routes of its arrangement, or None before the first one.
+        withdrawn: Target versions that moves led to without completing, by
+            service.
     """
 
     state: State | None = None
     table: RouteTable | None = None
+    withdrawn: Mapping[str, frozenset[str]] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class EntryPipeline:
@@ -542,6 +547,7 @@
             call.route.name,
             self.facts.brakes,
             self.rng,
+            self.active_config.withdrawn.get(call.service, frozenset()),
         )
         endpoints = self.facts.endpoints_of(call.service)
         now = self.clock.seconds()
--- a/src/fulmarrudder/call/version_split.py
+++ b/src/fulmarrudder/call/version_split.py
@@ -22,20 +22,17 @@
 
     Attributes:
         only: The only version allowed; empty for any.
-        excluded: Version that is not allowed; empty for none.
+        excluded: Versions that are not allowed.
     """
 
     only: str = ""
-    excluded: str = ""
+    excluded: frozenset[str] = frozenset()
 
     def allows(self, version: str) -> bool:
         """Returns whether a target version may serve the request."""
         if self.only:
             return version == self.only
-        return not self.excluded or version != self.excluded
-
-
-ANY_VERSION = VersionFilter()
+        return version not in self.excluded
 
 
 def is_braked(brakes: tuple[Brake, ...], move: Move, route: str) -> bool:
@@ -54,6 +51,7 @@
     route: str,
     brakes: tuple[Brake, ...],
     rng: random.Random,
+    withdrawn: frozenset[str] = frozenset(),
 ) -> tuple[VersionFilter, ...]:
     """Returns the target versions that may serve a request, in order.
 
@@ -63,6 +61,8 @@
         route: Name of the route.
         brakes: Brakes that this node has received.
         rng: Selects between versions by the share of the move.
+        withdrawn: Versions of the service that earlier moves led to without
+            completing.
 
     Returns:
         Filters to try in turn; empty for an unknown service. The last one of
@@ -73,10 +73,15 @@
         return ()
     move = open_move_of(state, service)
     if move is None:
-        return (VersionFilter(only=current),)
-    new, old = VersionFilter(only=move.to_version), old_versions(move)
+        return (VersionFilter(only=current, excluded=withdrawn),)
+    new, old = (
+        VersionFilter(only=move.to_version),
+        old_versions(move, withdrawn),
+    )
     if move.phase in NEW_VERSION_PHASES:
-        return (new, ANY_VERSION) if not move.from_version else (new,)
+        if move.from_version:
+            return (new,)
+        return (new, VersionFilter(excluded=withdrawn - {move.to_version}))
     if move.phase is not Phase.RUNNING:
         return (old,)
     if move.permille == 0 or is_braked(brakes, move, route):
@@ -86,11 +91,18 @@
     return (old,)
 
 
-def old_versions(move: Move) -> VersionFilter:
+def old_versions(
+    move: Move, withdrawn: frozenset[str] = frozenset()
+) -> VersionFilter:
     """Returns the versions that a move replaces.
 
-    A move without an old version replaces all versions but the new one.
+    A move without an old version replaces all versions but the new one and
+    those that were withdrawn.
+
+    Args:
+        move: The move.
+        withdrawn: Versions that earlier moves led to without completing.
     """
     if move.from_version:
         return VersionFilter(only=move.from_version)
-    return VersionFilter(excluded=move.to_version)
+    return VersionFilter(excluded=withdrawn | {move.to_version})
--- a/src/fulmarrudder/move/__init__.py
+++ b/src/fulmarrudder/move/__init__.py
@@ -22,7 +22,12 @@
 from fulmarrudder.move.controller import Controller
 from fulmarrudder.move.errors import MoveError
 from fulmarrudder.move.monitor import Monitor
-from fulmarrudder.move.request import MoveRequest, MoveRequestStore, MoveResult
+from fulmarrudder.move.request import (
+    MoveRequest,
+    MoveRequestStore,
+    MoveResult,
+    RecordedMove,
+)
 from fulmarrudder.move.schedule import next_action
 from fulmarrudder.move.stats import Counts, MoveStats, RouteEvidence
 
@@ -40,6 +45,7 @@
     "RouteEvidence",
     "MoveResult",
     "NoRegression",
+    "RecordedMove",
     "VerdictAction",
     "VerdictEvent",
     "confirm",
--- a/src/fulmarrudder/move/request.py
+++ b/src/fulmarrudder/move/request.py
@@ -11,7 +11,10 @@
 from fulmarrudder.state_machine import Move, Phase
 
 ENDED = frozenset({Phase.COMPLETED, Phase.TAKEN_BACK})
+ESTABLISHED = frozenset({Phase.COMPLETING, Phase.COMPLETED})
 FULL_PERMILLE = 1000
+# Requests that may still be found to have completed after their replacement.
+MAX_REPLACED = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -57,10 +60,58 @@
         return 0 if self.taken_back else FULL_PERMILLE
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RecordedMove:
+    """A move as its latest record tells it.
+
+    Attributes:
+        phase: Running, completed or taken back.
+        request_offset: Offset of the move's request, or None in a record of an
+            older build.
+        withdrawn: Versions that moves before this one led to without
+            completing, oldest first.
+    """
+
+    service: str
+    to_version: str
+    phase: Phase
+    request_offset: int | None
+    withdrawn: tuple[str, ...] = ()
+
+    @property
+    def result(self) -> MoveResult | None:
+        """The move's result, or None while the move is in progress."""
+        if self.phase is Phase.RUNNING:
+            return None
+        return MoveResult(
+            service=self.service,
+            to_version=self.to_version,
+            taken_back=self.phase is Phase.TAKEN_BACK,
+            request_offset=self.request_offset,
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class VersionOutcome:
+    """What the latest move to a target version has come to.
+
+    Attributes:
+        offset: Offset of the request, or of a later one.
+        is_established: Whether the version was completed, so that it serves
+            requests until another one is.
+    """
+
+    offset: int
+    is_established: bool
+
+
 class MoveRequestStore:
     """Requests of the operator and their results.
 
     Attributes:
+        outcomes: Outcomes of earlier moves, by service and target version.
+        replaced: Requests that later ones have replaced, by the ids of their
+            moves.
         requests: The latest request of each service.
         results: The latest recorded result of each service.
         repeated: Id of the latest request of each service that asks for the
@@ -71,6 +122,8 @@
         self.repeated: dict[str, str] = {}
         self.requests: dict[str, MoveRequest] = {}
         self.results: dict[str, MoveResult] = {}
+        self.outcomes: dict[str, dict[str, VersionOutcome]] = {}
+        self.replaced: dict[str, MoveRequest] = {}
 
     def add_move_request(self, request: MoveRequest) -> bool:
         """Stores a request; returns whether it is new."""
@@ -79,6 +132,7 @@
             return False
         if latest is not None and latest.to_version == request.to_version:
             self.repeated[request.service] = request.id
+        self._replace(latest)
         self.requests[request.service] = request
         return True
 
@@ -86,9 +140,90 @@
         """Stores a recorded result."""
         self.results[result.service] = result
 
+    def add_recorded_move(self, recorded: RecordedMove) -> None:
+        """Stores a recorded move, and what its record tells of earlier ones."""
+        if recorded.result is not None:
+            self.add_move_result(recorded.result)
+        offset = recorded.request_offset or 0
+        for version in recorded.withdrawn:
+            self._note(
+                recorded.service, version, offset - 1, is_established=False
+            )
+        self._note(
+            recorded.service,
+            recorded.to_version,
+            offset,
+            is_established=recorded.phase in ESTABLISHED,
+        )
+
     def remove(self, service: str) -> None:
         """Removes the request of a service."""
-        self.requests.pop(service, None)
+        self._replace(self.requests.pop(service, None))
+
+    def withdrawn(
+        self, progress: Iterable[MoveProgress]
+    ) -> dict[str, frozenset[str]]:
+        """Returns the versions that earlier moves led to without completing.
+
+        A move that was taken back has not completed, and neither has one that
+        the operator's next request has replaced.
+
+        Args:
+            progress: Progress of the moves that this node has received.
+
+        Returns:
+            The versions by service.
+        """
+        by_move = {latest.move: latest for latest in progress}
+        for request in (*self.replaced.values(), *self.requests.values()):
+            phase = self._move(request, by_move.get(request.id)).phase
+            if phase in ESTABLISHED:
+                self._note(
+                    request.service,
+                    request.to_version,
+                    request.offset,
+                    is_established=True,
+                )
+        found = {}
+        for service, outcomes in self.outcomes.items():
+            found[service] = frozenset(
+                version
+                for version, outcome in outcomes.items()
+                if not outcome.is_established
+            )
+        return found
+
+    def _replace(self, request: MoveRequest | None) -> None:
+        """Handles that a request is no longer the latest of its service."""
+        if request is None:
+            return
+        self.replaced[request.id] = request
+        while len(self.replaced) > MAX_REPLACED:
+            del self.replaced[next(iter(self.replaced))]
+        self._note(
+            request.service,
+            request.to_version,
+            request.offset,
+            is_established=False,
+        )
+
+    def _note(
+        self, service: str, version: str, offset: int, *, is_established: bool
+    ) -> None:
+        """Stores an outcome, unless one of a later move is known.
+
+        A move that has completed once stays so.
+        """
+        outcomes = self.outcomes.setdefault(service, {})
+        known = outcomes.get(version)
+        if known is not None and (known.offset, known.is_established) >= (
+            offset,
+            is_established,
+        ):
+            return
+        outcomes[version] = VersionOutcome(
+            offset=offset, is_established=is_established
+        )
 
     def is_result_of(self, result: MoveResult, move: Move) -> bool:
         """Returns whether a recorded result is that of a move."""
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -15,7 +15,6 @@
 from twisted.internet.defer import Deferred, succeed
 
 from fulmarrudder.call import (
-    ActiveConfig,
     CallFactory,
     ConnectionPool,
     EntryPipeline,
@@ -49,6 +48,7 @@
     MoveRequest,
     MoveRequestStore,
     MoveResult,
+    RecordedMove,
 )
 from fulmarrudder.node.gauges import call_gauges
 from fulmarrudder.node.move_executor import ControllerLease, MoveExecutor
@@ -390,7 +390,9 @@
             arrangement=arrangement,
             currents=currents,
         )
-        self.entry.active_config = ActiveConfig(state=self.state, table=table)
+        self.entry.active_config = dataclasses.replace(
+            self.entry.active_config, state=self.state, table=table
+        )
         self.calls.limits = arrangement.limits
         now = self.clock.seconds()
         logs.info(
@@ -421,6 +423,15 @@
         self.move_requests.add_move_result(result)
         self._sync_moves()
 
+    def add_recorded_move(self, recorded: RecordedMove) -> None:
+        """Adds a move whose status was recorded."""
+        self.move_requests.add_recorded_move(recorded)
+        self._sync_moves()
+
+    def withdrawn_versions(self, service: str) -> frozenset[str]:
+        """Returns the versions that moves led to without completing."""
+        return self.entry.active_config.withdrawn.get(service, frozenset())
+
     def remove_move_request(self, service: str) -> None:
         """Removes the move request of a service, which was withdrawn."""
         self.move_requests.remove(service)
@@ -686,11 +697,24 @@
             logs.info("move-closed", move=closed.move, phase=closed.phase)
             # Merged, it is reported no more.
             self.gossip.broadcast(closed)
-        moves = self.move_requests.moves(self.facts.all_of(MoveProgress))
-        if moves == self.state.moves:
+        progress = self.facts.all_of(MoveProgress)
+        moves = self.move_requests.moves(progress)
+        withdrawn = self.move_requests.withdrawn(progress)
+        config = self.entry.active_config
+        if moves == self.state.moves and withdrawn == config.withdrawn:
             return
+        if withdrawn != config.withdrawn:
+            logs.info("versions-withdrawn", versions=_list_versions(withdrawn))
         self.state = dataclasses.replace(self.state, moves=moves)
         self.entry.active_config = dataclasses.replace(
-            self.entry.active_config, state=self.state
+            config, state=self.state, withdrawn=withdrawn
         )
         self.monitor.sync_moves(self.state)
+
+
+def _list_versions(withdrawn: dict[str, frozenset[str]]) -> str:
+    return " ".join(
+        f"{service}/{version}"
+        for service, versions in sorted(withdrawn.items())
+        for version in sorted(versions)
+    )
--- a/src/fulmarrudder/platform/operator_records.py
+++ b/src/fulmarrudder/platform/operator_records.py
@@ -6,6 +6,7 @@
 from fulmarrudder.distribution import Document
 from fulmarrudder.distribution.entries import change_between
 from fulmarrudder.distribution.message import ConfigChange
+from fulmarrudder.move import RecordedMove
 from fulmarrudder.node.errors import UnconfirmedError
 from fulmarrudder.node.gossip_node import GossipNode, VersionSource
 from fulmarrudder.node.supervisor import ignore
@@ -15,7 +16,6 @@
 from fulmarrudder.platform.errors import StoreError
 from fulmarrudder.platform.loader import ConfigLoader, WholeConfig
 from fulmarrudder.platform.rollout import (
-    RecordedMove,
     encode_status,
     parse_move_request,
     parse_status,
@@ -27,6 +27,9 @@
 STATUS_TOPIC = "keyed.status"
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
+# Withdrawn versions of a service that its status tells; targets of older ones
+# have long ended.
+MAX_WITHDRAWN = 20
 
 
 class OperatorRecords:
@@ -132,8 +135,7 @@
         """
         latest = await self.store.read_latest(STATUS_TOPIC)
         for recorded in _recorded_moves(latest.records):
-            if recorded.result is not None:
-                self.node.add_move_result(recorded.result)
+            self.node.add_recorded_move(recorded)
         self.node.move_results_loaded = True
 
     async def record_status(self, move: Move) -> Phase:
@@ -180,12 +182,45 @@
             STATUS_TOPIC,
             KeyedRecord(
                 key=f"{ROLLOUT_PREFIX}{move.service}",
-                value=encode_status(move.phase, move.to_version, move.opened),
+                value=encode_status(
+                    move.phase,
+                    move.to_version,
+                    move.opened,
+                    self._withdrawn_before(move, latest.records),
+                ),
             ),
             expected_end=latest.next_offset,
         )
         return move.phase
 
+    def _withdrawn_before(
+        self, move: Move, records: Iterable[KeyedRecord]
+    ) -> tuple[str, ...]:
+        """Returns the versions that earlier moves led to without completing.
+
+        They are recorded with the status of the next move, as the store keeps
+        only the latest status of a service.
+
+        Args:
+            move: The move whose status is to be recorded.
+            records: The latest status of each service.
+        """
+        known = self.node.withdrawn_versions(move.service)
+        withdrawn, established = [], set()
+        for recorded in _recorded_moves(records):
+            if recorded.service != move.service:
+                continue
+            withdrawn += recorded.withdrawn
+            if recorded.phase is Phase.COMPLETED:
+                established.add(recorded.to_version)
+            else:
+                withdrawn.append(recorded.to_version)
+        withdrawn += sorted(known - set(withdrawn))
+        found = dict.fromkeys(withdrawn)
+        for version in (*established, move.to_version):
+            found.pop(version, None)
+        return tuple(found)[-MAX_WITHDRAWN:]
+
     def _verdict_on(
         self, move: Move, records: Iterable[KeyedRecord]
     ) -> Phase | None:
--- a/src/fulmarrudder/platform/rollout.py
+++ b/src/fulmarrudder/platform/rollout.py
@@ -3,14 +3,13 @@
 A rollout is the platform's document that requests a move of a service.
 """
 
-import dataclasses
 import json
 from typing import Literal
 
 import pydantic
 from expression import Error, Ok, Result
 
-from fulmarrudder.move import MoveRequest, MoveResult
+from fulmarrudder.move import MoveRequest, RecordedMove
 from fulmarrudder.platform.errors import DocumentError
 from fulmarrudder.platform.field_types import (
     Milliseconds,
@@ -34,34 +33,6 @@
 }
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class RecordedMove:
-    """A move as the status of its rollout tells it.
-
-    Attributes:
-        phase: Running, completed or taken back.
-        request_offset: Offset of the move's request, or None in a record of an
-            older build.
-    """
-
-    service: str
-    to_version: str
-    phase: Phase
-    request_offset: int | None
-
-    @property
-    def result(self) -> MoveResult | None:
-        """The move's result, or None while the move is in progress."""
-        if self.phase is Phase.RUNNING:
-            return None
-        return MoveResult(
-            service=self.service,
-            to_version=self.to_version,
-            taken_back=self.phase is Phase.TAKEN_BACK,
-            request_offset=self.request_offset,
-        )
-
-
 class _Rollout(PlatformModel):
     service: Name
     # Target version that receives the traffic when the rollout completes.
@@ -75,6 +46,9 @@
     request_offset: int | None = pydantic.Field(
         alias="requestOffset", default=None
     )
+    withdrawn: tuple[Name, ...] = pydantic.Field(
+        alias="withdrawnVersions", default=(), strict=False
+    )
 
 
 def parse_move_request(
@@ -127,11 +101,17 @@
             to_version=model.target_version,
             phase=PHASE_BY_STATE[model.state],
             request_offset=model.request_offset,
+            withdrawn=model.withdrawn,
         )
     )
 
 
-def encode_status(phase: Phase, to_version: str, request_offset: int) -> bytes:
+def encode_status(
+    phase: Phase,
+    to_version: str,
+    request_offset: int,
+    withdrawn: tuple[str, ...] = (),
+) -> bytes:
     """Encodes the status of a move as JSON.
 
     Args:
@@ -139,10 +119,14 @@
         to_version: Target version that the move leads to.
         request_offset: Offset of the move's request, which tells the move from
             others to the same version.
+        withdrawn: Versions that moves before this one led to without
+            completing, oldest first.
     """
     document = {
         "state": STATE_BY_PHASE[phase],
         "targetVersion": to_version,
         "requestOffset": request_offset,
     }
+    if withdrawn:
+        document["withdrawnVersions"] = withdrawn
     return json.dumps(document).encode()
