--- a/src/fulmarrudder/call/version_split.py
+++ b/src/fulmarrudder/call/version_split.py
@@ -74,10 +74,8 @@
     move = open_move_of(state, service)
     if move is None:
         return (VersionFilter(only=current, excluded=withdrawn),)
-    new, old = (
-        VersionFilter(only=move.to_version),
-        old_versions(move, withdrawn),
-    )
+    new = VersionFilter(only=move.to_version)
+    old = old_versions(move, withdrawn)
     if move.phase in NEW_VERSION_PHASES:
         if move.from_version:
             return (new,)
--- a/src/fulmarrudder/move/analysis.py
+++ b/src/fulmarrudder/move/analysis.py
@@ -2,14 +2,14 @@
 
 The two versions are compared over the same intervals, so that a load peak,
 which affects both, does not count against either. Failures are counted over the
-whole move: under the null hypothesis that the versions are alike, the failures of
-each interval are a random part of its requests, and a one-sided test of those of the
-new version gives the p-value. Latencies are compared over the
+whole move: under the null hypothesis that the versions are alike, the failures
+of each interval are a random part of its requests, and a one-sided test of
+those of the new version gives the p-value. Latencies are compared over the
 latest seconds by Wilson intervals.
 
-While the old version fails often itself, a difference takes hundreds of requests to
-prove. The new version then counts as worse once it has failed a number of requests
-and its own failures cannot be ruled out.
+While the old version fails often itself, a difference takes hundreds of
+requests to prove. The new version then counts as worse once it has failed a
+number of requests and its own failures cannot be ruled out.
 """
 
 import dataclasses
@@ -159,15 +159,12 @@
 
 
 def binomial_tail(count: int, total: int, expected: float) -> float:
-    """Returns the probability that the new version has so many failures.
+    """Returns the probability of a number of successes or more.
 
     Args:
-        count: Failures of the new version.
-        total: Trials of a binomial distribution.
+        count: The number.
+        total: Trials of the binomial distribution.
         expected: Its mean.
-
-    Returns:
-        The probability of `count` or more failures.
     """
     if count <= expected or total == 0:
         return 1.0
--- a/src/fulmarrudder/move/request.py
+++ b/src/fulmarrudder/move/request.py
@@ -160,19 +160,13 @@
         """Removes the request of a service."""
         self._replace(self.requests.pop(service, None))
 
-    def withdrawn(
-        self, progress: Iterable[MoveProgress]
-    ) -> dict[str, frozenset[str]]:
-        """Returns the versions that earlier moves led to without completing.
+    def note_completed(self, progress: Iterable[MoveProgress]) -> None:
+        """Stores which versions were completed, by the latest progress.
 
-        A move that was taken back has not completed, and neither has one that
-        the operator's next request has replaced.
+        The verdict of a request may arrive after it was replaced.
 
         Args:
             progress: Progress of the moves that this node has received.
-
-        Returns:
-            The versions by service.
         """
         by_move = {latest.move: latest for latest in progress}
         for request in (*self.replaced.values(), *self.requests.values()):
@@ -184,6 +178,16 @@
                     request.offset,
                     is_established=True,
                 )
+
+    def withdrawn(self) -> dict[str, frozenset[str]]:
+        """Returns the versions that earlier moves led to without completing.
+
+        A move that was taken back has not completed, and neither has one that
+        the operator's next request has replaced.
+
+        Returns:
+            The versions by service.
+        """
         found = {}
         for service, outcomes in self.outcomes.items():
             found[service] = frozenset(
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -699,7 +699,8 @@
             self.gossip.broadcast(closed)
         progress = self.facts.all_of(MoveProgress)
         moves = self.move_requests.moves(progress)
-        withdrawn = self.move_requests.withdrawn(progress)
+        self.move_requests.note_completed(progress)
+        withdrawn = self.move_requests.withdrawn()
         config = self.entry.active_config
         if moves == self.state.moves and withdrawn == config.withdrawn:
             return
