Services without a withdrawn version are left out

A completed move put its service into the table of withdrawn versions with an empty set, and each node logged versions-withdrawn with no version. Found by reading the change; tests/node/test_withdrawn_versions.py has a test of it (equal to {} afterwards). No request is routed otherwise.

--- a/src/fulmarrudder/move/request.py
+++ b/src/fulmarrudder/move/request.py
@@ -190,11 +190,13 @@
         """
         found = {}
         for service, outcomes in self.outcomes.items():
-            found[service] = frozenset(
+            versions = frozenset(
                 version
                 for version, outcome in outcomes.items()
                 if not outcome.is_established
             )
+            if versions:
+                found[service] = versions
         return found
 
     def _replace(self, request: MoveRequest | None) -> None:
--- a/tests/node/test_withdrawn_versions.py
+++ b/tests/node/test_withdrawn_versions.py
@@ -228,3 +228,10 @@
     assert not scene.allows("v2")
     scene.report(done, Phase.COMPLETED, is_recorded=False)
     assert scene.allows("v2")
+
+
+# Guards the log against a line that tells of no version.
+def test_completed_move_withdraws_nothing(scene):
+    before = scene.node.entry.active_config.withdrawn
+    scene.report(scene.order("v2"), Phase.COMPLETED)
+    assert scene.node.entry.active_config.withdrawn == before == {}
