--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -51,7 +51,11 @@
     fingerprint_of,
     refuse_poison_request,
 )
-from fulmarrudder.call.refusals import not_run
+from fulmarrudder.call.refusals import (
+    UNCONFIRMED_KEYS,
+    UNKNOWN_KEY,
+    not_run,
+)
 from fulmarrudder.call.report import EntryReport
 from fulmarrudder.call.retry import (
     MAX_SPILL_ATTEMPTS,
@@ -114,6 +118,11 @@
     )
 
 
+def _without_tenant(routed: RoutedRequest) -> RoutedRequest | Refusal:
+    """Passes on a request where there are no tenants."""
+    return routed
+
+
 class EntryPipeline:
     """Serves callers: routes calls, retries them and returns answers.
 
@@ -128,6 +137,8 @@
         sender: Sends calls to other nodes.
         report: Reports decisions as events.
         start_gate: Holds calls while the node starts.
+        version_gate: Holds calls whose key a later version may hold.
+        identify: Filter that finds the tenant of a routed request.
         stop_deadline: Clock seconds by which every call is answered, as the
             node stops then; infinite while it does not stop.
     """
@@ -173,11 +184,14 @@
         self.active_config = ActiveConfig()
         self.freshness = ConfigFreshness()
         self.start_gate = StartGate(clock)
+        self.version_gate = StartGate(clock, until=math.inf)
+        self.identify = _without_tenant
         self.stop_deadline = math.inf
         self.steps = (
             sanitize_request,
             self._check_configured,
             self._match_route,
+            lambda routed: self.identify(routed),
         )
 
     async def serve(
@@ -202,6 +216,8 @@
         requested_timeout = head.headers.get(self.header_names.caller_timeout)
         await self.start_gate.hold(lambda: self.active_config.table is not None)
         routed = run_steps(head, self.steps, Refusal)
+        if routed is UNKNOWN_KEY and self._is_behind():
+            routed = await self._identify_later(head)
         if isinstance(routed, Refusal):
             return refusal_answer(routed)
         call = plan_call(
@@ -255,10 +271,7 @@
         least_urgent_rank = self.active_config.table.least_urgent_rank.get(
             call.service, 0
         )
-        if (
-            not call.soft_deadline
-            or not 0 < least_urgent_rank <= call.route.rank
-        ):
+        if not call.soft_deadline or not 0 < least_urgent_rank <= call.rank:
             return None
         now = self.clock.seconds()
         endpoints = self.facts.endpoints_of(call.service)
@@ -300,6 +313,21 @@
     def _match_route(self, head: RequestHead) -> RoutedRequest | Refusal:
         return self.active_config.table.match(head, self.rng)
 
+    def _is_behind(self) -> bool:
+        """Returns whether there is a later version that is not active yet."""
+        state = self.active_config.state
+        return state is not None and self.freshness.told_version > state.version
+
+    async def _identify_later(
+        self, head: RequestHead
+    ) -> RoutedRequest | Refusal:
+        """Runs the steps again once the version that was told is active."""
+        await self.version_gate.hold(lambda: not self._is_behind())
+        routed = run_steps(head, self.steps, Refusal)
+        if routed is UNKNOWN_KEY and self._is_behind():
+            return UNCONFIRMED_KEYS
+        return routed
+
     async def _run_attempts(self, call: Call) -> Answer:
         last_refusal = not_run(RefusalReason.NO_TARGET, "no target to send to")
         attempts = RunningAttempts()
--- a/src/fulmarrudder/call/header_names.py
+++ b/src/fulmarrudder/call/header_names.py
@@ -37,6 +37,8 @@
         requests_per_s: From targets in need: requests a second that the target
             takes from all nodes together.
         leaving: From targets: "1" if the target is about to stop.
+        api_key: From callers: key of their tenant; never passed on.
+        tenant: To targets: name of the tenant.
     """
 
     caller_timeout: bytes = TIMEOUT_HEADER
@@ -49,6 +51,8 @@
     load: bytes = b""
     requests_per_s: bytes = b""
     leaving: bytes = b""
+    api_key: bytes = b""
+    tenant: bytes = b""
 
 
 DEFAULT_HEADER_NAMES = HeaderNames()
--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -156,6 +156,8 @@
     KEY_PENDING = "idempotency-key-pending"
     ALREADY_RAN = "already-ran"
     STOPPED = "stopped"
+    UNKNOWN_KEY = "unknown-key"
+    UNCONFIRMED = "configuration-not-confirmed"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/fulmarrudder/call/plan.py
+++ b/src/fulmarrudder/call/plan.py
@@ -18,7 +18,7 @@
 )
 from fulmarrudder.call.refusals import malformed
 from fulmarrudder.call.route import RoutedRequest
-from fulmarrudder.model import Presence, Route
+from fulmarrudder.model import Presence, Route, Tenant
 
 IDEMPOTENT_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE"})
 MAX_KEY_BYTES = 255
@@ -53,6 +53,7 @@
         rank: Priority; 0 is the most urgent.
         arrived_at: Clock seconds at which its head arrived.
         contacted: Whether an attempt has reached the node of a target.
+        tenant: Tenant that it belongs to, or None.
     """
 
     head: RequestHead
@@ -75,6 +76,7 @@
     rank: int = 0
     arrived_at: float = 0.0
     contacted: bool = False
+    tenant: Tenant | None = None
 
     @property
     def may_run_again(self) -> bool:
@@ -195,7 +197,8 @@
         head=head,
         service=routed.service,
         soft_deadline=soft_deadline,
-        rank=route.rank,
+        rank=_rank_of(routed),
+        tenant=routed.tenant,
         arrived_at=arrived_at,
         id=_text(head.headers.get(header_names.request_id)),
         route=route,
@@ -208,5 +211,13 @@
     )
 
 
+def _rank_of(routed: RoutedRequest) -> int:
+    """Returns the priority of a request; that of its tenant goes first."""
+    tenant = routed.tenant
+    if tenant is None or tenant.rank is None:
+        return routed.route.rank
+    return tenant.rank
+
+
 def _text(value: bytes | None) -> str:
     return "" if value is None else value.decode("latin-1")
--- a/src/fulmarrudder/call/refusals.py
+++ b/src/fulmarrudder/call/refusals.py
@@ -2,6 +2,13 @@
 
 from fulmarrudder.call.message import Ran, Refusal, RefusalReason
 
+UNKNOWN_KEY = Refusal(
+    status=401,
+    reason=RefusalReason.UNKNOWN_KEY,
+    ran=Ran.NO,
+    detail="the request has no key that is known here",
+)
+
 
 def malformed(detail: str, status: int = 400) -> Refusal:
     """Returns the refusal of a malformed request."""
@@ -40,6 +47,12 @@
     )
 
 
+UNCONFIRMED_KEYS = not_run(
+    RefusalReason.UNCONFIRMED,
+    "keys may have changed: the configuration is not confirmed",
+)
+
+
 def broken(detail: str) -> Refusal:
     """Returns the refusal of a request that may have run."""
     return Refusal(
--- a/src/fulmarrudder/call/route.py
+++ b/src/fulmarrudder/call/route.py
@@ -11,7 +11,7 @@
     RefusalReason,
     RequestHead,
 )
-from fulmarrudder.model import Arrangement, Route
+from fulmarrudder.model import Arrangement, Route, Tenant
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -22,11 +22,13 @@
         head: Head of the request.
         route: Route that it matched.
         service: Service chosen for it, by the split of the route.
+        tenant: Tenant that it belongs to, or None.
     """
 
     head: RequestHead
     route: Route
     service: str
+    tenant: Tenant | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/fulmarrudder/call/start.py
+++ b/src/fulmarrudder/call/start.py
@@ -22,7 +22,8 @@
     """Holds requests until the node knows what it needs to serve them.
 
     Attributes:
-        until: Clock seconds from which no request is held.
+        until: Clock seconds from which no request is held; infinite if they
+            are held at any time.
         waiting: What the requests that are held wait for.
     """
 
--- a/src/fulmarrudder/model/__init__.py
+++ b/src/fulmarrudder/model/__init__.py
@@ -5,6 +5,7 @@
     Limits,
     Route,
     Service,
+    Tenant,
     WeightedService,
 )
 from fulmarrudder.model.fact import (
@@ -72,6 +73,7 @@
     "Strike",
     "ConfigSummary",
     "Tally",
+    "Tenant",
     "key_of",
     "precedence_of",
 ]
--- a/src/fulmarrudder/model/arrangement.py
+++ b/src/fulmarrudder/model/arrangement.py
@@ -12,11 +12,38 @@
         target_versions: Every target version that may receive traffic.
         initial: Target version that receives all traffic when the service is
             first published.
+        cold_start_ms: Time for which a target is cold after its start, in
+            milliseconds.
+        cold_per_s: Requests a second that a cold target takes from all nodes
+            together; 0 for no limit.
     """
 
     name: str
     target_versions: tuple[str, ...]
     initial: str
+    cold_start_ms: int = 0
+    cold_per_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Tenant:
+    """A customer whose requests are told by their keys.
+
+    Attributes:
+        name: Unique name, which targets are told.
+        keys: Its keys; a key belongs to one tenant.
+        rank: Priority of its requests, in place of that of their routes; None
+            for theirs.
+        requests_per_s: Quota in requests a second of the whole fleet; 0 for no
+            limit.
+        burst: Requests that it may send at once beyond that rate.
+    """
+
+    name: str
+    keys: tuple[str, ...]
+    rank: int | None = None
+    requests_per_s: float = 0.0
+    burst: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -68,6 +95,7 @@
         rank: Priority of the requests; 0 is the most urgent.
         latency_objective_ms: Latency objective, in milliseconds; 0 for none.
         attempts: Maximum number of targets that one request is sent to.
+        exempt: Whether requests need no key of a tenant.
     """
 
     name: str
@@ -84,18 +112,21 @@
         default=0, metadata={"alias": "aim_ms"}
     )
     attempts: int = 3
+    exempt: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Arrangement:
-    """Content of one configuration version: services, routes and limits.
+    """Content of one configuration version.
 
     Attributes:
         services: All services.
         routes: All routes.
         limits: Limits on the requests of callers.
+        tenants: All tenants; None where requests need no key.
     """
 
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
     limits: Limits = Limits()
+    tenants: tuple[Tenant, ...] | None = None
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -56,6 +56,7 @@
 from fulmarrudder.node.supervisor import Supervisor, ignore
 from fulmarrudder.observe import EventLog, Metrics, Sample, Spans, logs
 from fulmarrudder.state_machine import OPEN_PHASES, CurrentVersion, Move, State
+from fulmarrudder.tenants import Credentials, Identifier, KeyTable
 
 # Share of the fleet's retry budget that nodes may use. The calls that a
 # retried request makes in turn count as retries as well.
@@ -89,6 +90,7 @@
         retry_ratio: Retries per request that the whole fleet may make.
         retry_slack: Retries that the fleet may make beyond that ratio.
         link_bytes_per_s: Speed of the instance's network link.
+        credentials: What is demanded of a node that may be behind.
     """
 
     node: str
@@ -99,6 +101,7 @@
     retry_ratio: float
     retry_slack: float
     link_bytes_per_s: float = math.inf
+    credentials: Credentials = Credentials()
 
 
 def _keep_nowhere(departed: DepartedTarget) -> Deferred:
@@ -122,6 +125,7 @@
         supervisor: Runs the node's tasks.
         entry: Pipeline of requests from callers.
         host: Pipeline of requests to the local target.
+        identifier: Finds the tenants of requests.
         gossip: Links to other nodes.
         render_document: Puts the active configuration together as a document;
             None before the first one.
@@ -276,6 +280,11 @@
             events=self.events,
         )
         self.entry.start_gate.until = reactor.seconds() + START_S
+        self.identifier = Identifier(
+            reactor, header_names, self.entry.freshness
+        )
+        self.identifier.credentials = settings.credentials
+        self.entry.identify = self.identifier.identify
         self.calls = CallFactory(
             clock=reactor,
             entry=self.entry,
@@ -361,6 +370,7 @@
         render: Callable[[], Document],
         source: VersionSource,
         change: RouteChange | None = None,
+        keys: KeyTable | None = None,
     ) -> None:
         """Activates a configuration version unless it is outdated.
 
@@ -371,6 +381,7 @@
             source: Where it came from.
             change: How its routes differ from the active ones; None if that is
                 not known.
+            keys: Keys of its tenants; None where requests need none.
         """
         if version <= self.version:
             return
@@ -391,8 +402,11 @@
             currents=currents,
         )
         self.entry.active_config = dataclasses.replace(
-            self.entry.active_config, state=self.state, table=table
+            self.entry.active_config,
+            state=self.state,
+            table=table,
         )
+        self.identifier.keys = keys
         self.calls.limits = arrangement.limits
         now = self.clock.seconds()
         logs.info(
@@ -405,6 +419,7 @@
         self.entry.freshness.activated_at = now
         self.gossip.tell_version()
         self.entry.start_gate.notify()
+        self.entry.version_gate.notify()
 
     def confirm_version(self) -> None:
         """Records that the source of versions has answered."""
--- a/src/fulmarrudder/platform/config.py
+++ b/src/fulmarrudder/platform/config.py
@@ -10,10 +10,13 @@
 
 from fulmarrudder.call import RouteChange
 from fulmarrudder.distribution.entries import Entries, entries_of
-from fulmarrudder.model import Arrangement, Limits, Route, Service
+from fulmarrudder.model import Arrangement, Limits, Route, Service, Tenant
 from fulmarrudder.platform.document import split_config
-from fulmarrudder.platform.entry import Part, parse_entries
+from fulmarrudder.platform.entry import Part, Tenancy, parse_entries
 from fulmarrudder.platform.errors import DocumentError
+from fulmarrudder.tenants import KeyTable, SharedKeyError
+
+OtherPart = Service | Limits | Tenant | Tenancy
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -29,19 +32,19 @@
         arrangement: The same as the product's own arrangement.
         change: How its routes differ from those of the configuration that it
             was built from.
+        keys: Its tenants by key; None where requests need no key.
     """
 
     version: int = 0
     entries: Entries = Entries()
     routes: Mapping[int, Route] = dataclasses.field(default_factory=dict)
-    others: Mapping[int, Service | Limits] = dataclasses.field(
-        default_factory=dict
-    )
+    others: Mapping[int, OtherPart] = dataclasses.field(default_factory=dict)
     matches: Mapping[tuple[str, str], Route] = dataclasses.field(
         default_factory=dict
     )
     arrangement: Arrangement = Arrangement()
     change: RouteChange = RouteChange()
+    keys: KeyTable | None = None
 
 
 def build_config(
@@ -80,6 +83,9 @@
             faults.append(f"route {part.name}: {match} has a route already")
         routes[entry_id] = matches[match] = part
     faults += _misfits(base, others, matches, new_parts)
+    keys = _build_keys(base, others, entries, new_parts)
+    if keys.is_error():
+        faults.append(str(keys.error))
     if faults:
         return Error(DocumentError("; ".join(faults)))
     return Ok(
@@ -93,7 +99,9 @@
                 services=_of_kind(Service, others.values()),
                 routes=tuple(matches.values()),
                 limits=_of_kind(Limits, others.values())[0],
+                tenants=_tenants_of(base, keys.ok),
             ),
+            keys=keys.ok,
             change=RouteChange(
                 removed=tuple(removed),
                 added=_of_kind(Route, new_parts.values()),
@@ -104,7 +112,7 @@
 
 def _misfits(
     base: Config,
-    others: Mapping[int, Service | Limits],
+    others: Mapping[int, OtherPart],
     matches: Mapping[tuple[str, str], Route],
     new_parts: Mapping[int, Part],
 ) -> Iterator[str]:
@@ -123,6 +131,33 @@
                 yield f"route {route.name}: unknown service {service}"
 
 
+def _build_keys(
+    base: Config,
+    others: Mapping[int, OtherPart],
+    entries: Entries,
+    new_parts: Mapping[int, Part],
+) -> Result[KeyTable | None, SharedKeyError]:
+    """Returns the tenants by key; None where requests need no key."""
+    added = _of_kind(Tenant, new_parts.values())
+    if not added and not _of_kind(Tenancy, others.values()):
+        return Ok(None)
+    removed_ids = base.entries.texts.keys() - entries.texts.keys()
+    gone = (base.others.get(entry_id) for entry_id in removed_ids)
+    removed = _of_kind(Tenant, gone)
+    known = base.keys or KeyTable()
+    if not added and not removed:
+        return Ok(known)
+    return known.changed(removed=removed, added=added)
+
+
+def _tenants_of(
+    base: Config, keys: KeyTable | None
+) -> tuple[Tenant, ...] | None:
+    if keys is None:
+        return None
+    return base.arrangement.tenants if keys is base.keys else keys.tenants
+
+
 def _of_kind(kind: type, parts: Iterable[Part]) -> tuple:
     return tuple(part for part in parts if isinstance(part, kind))
 
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -47,6 +47,7 @@
 from fulmarrudder.platform.store import RecordBatch, StoreClient
 from fulmarrudder.platform.tail import Tail
 from fulmarrudder.reactor import install_reactor
+from fulmarrudder.tenants import Credentials
 
 SETTINGS_VARIABLE = "FULMARRUDDER_BOOT"
 # Nodes share the platform's network, so the token is not secret: it only
@@ -300,6 +301,7 @@
         settings = loaded.ok
         self.settings = settings
         self.node.settings = _node_settings_of(settings)
+        self.node.identifier.credentials = self.node.settings.credentials
         logs.setup(settings.log_level, node=settings.node)
         logs.info("reloaded", service=settings.service)
 
@@ -380,6 +382,9 @@
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
         link_bytes_per_s=settings.link_bytes_per_s,
+        credentials=Credentials(
+            fail_closed=settings.fail_closed, unconfirmed_s=settings.revoke_s
+        ),
     )
 
 
--- a/src/fulmarrudder/platform/decoding.py
+++ b/src/fulmarrudder/platform/decoding.py
@@ -12,6 +12,9 @@
 Prefix = Annotated[str, msgspec.Meta(pattern=r"^/(.*/)?\Z", max_length=1024)]
 Positive = Annotated[int, msgspec.Meta(ge=1)]
 Natural = Annotated[int, msgspec.Meta(ge=0)]
+NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+# A key is one field value, which is compared as it is.
+Key = Annotated[str, msgspec.Meta(pattern=r"^[!-~]+\Z", max_length=1024)]
 # What the decoder raises for bytes that are no document.
 DECODE_ERRORS = (msgspec.MsgspecError, RecursionError, UnicodeError)
 
--- a/src/fulmarrudder/platform/document.py
+++ b/src/fulmarrudder/platform/document.py
@@ -1,7 +1,7 @@
 """Splits the operator's configuration into entries, and puts it together again.
 
-An entry is a text that stands for itself: one for each route and service, and one for
-the limits.
+An entry is a text that stands for itself: one for each route, service and tenant, one
+for the limits, and one that tells that there are tenants.
 """
 
 import dataclasses
@@ -22,6 +22,8 @@
 from fulmarrudder.platform.errors import DocumentError
 
 ROUTE_PREFIX = '{"type":"route"'
+TENANT_PREFIX = '{"type":"tenant"'
+TENANCY_TEXT = '{"type":"tenancy"}'
 
 
 class _RouteText(msgspec.Struct, tag="route"):
@@ -37,6 +39,14 @@
     pass
 
 
+class _TenantText(msgspec.Struct, tag="tenant"):
+    name: str
+
+
+class _TenancyText(msgspec.Struct, tag="tenancy"):
+    pass
+
+
 class _Host(msgspec.Struct):
     hostname: Name
     paths: list[msgspec.Raw]
@@ -47,6 +57,7 @@
     hosts: list[_Host] = msgspec.field(name="virtualHosts")
     services: list[msgspec.Raw]
     limits: msgspec.Raw
+    tenants: list[msgspec.Raw] | None = None
 
 
 class _Head(msgspec.Struct):
@@ -56,7 +67,7 @@
 _decode_document = msgspec.json.Decoder(_Document, dec_hook=decode_value).decode
 _decode_head = msgspec.json.Decoder(_Head, dec_hook=decode_value).decode
 _decode_texts = msgspec.json.Decoder(
-    _RouteText | _ServiceText | _LimitsText
+    _RouteText | _ServiceText | _LimitsText | _TenantText | _TenancyText
 ).decode
 
 
@@ -101,6 +112,9 @@
     routes = sum(len(host.paths) for host in document.hosts)
     if routes > sum(text.startswith(ROUTE_PREFIX) for text in unique):
         return Error(DocumentError("a route is listed twice"))
+    tenants = len(document.tenants or ())
+    if tenants > sum(text.startswith(TENANT_PREFIX) for text in unique):
+        return Error(DocumentError("a tenant is listed twice"))
     return Ok(ConfigText(version=document.version, texts=tuple(unique)))
 
 
@@ -113,6 +127,11 @@
     for service in document.services:
         yield _tagged("service", str(service, "utf-8"))
     yield _tagged("limits", str(document.limits, "utf-8"))
+    if document.tenants is None:
+        return
+    yield TENANCY_TEXT
+    for tenant in document.tenants:
+        yield _tagged("tenant", str(tenant, "utf-8"))
 
 
 def _tagged(kind: str, text: str) -> str:
@@ -141,6 +160,8 @@
             for hostname, paths in parts.hosts.items()
         ],
     }
+    if parts.tenants is not None:
+        document["tenants"] = parts.tenants
     return msgspec.json.encode(document).decode()
 
 
@@ -152,6 +173,7 @@
         hosts: Routes by host.
         services: The services.
         limits: The limits.
+        tenants: The tenants; None if there is no list of them.
     """
 
     hosts: dict[str, list[msgspec.Raw]] = dataclasses.field(
@@ -159,6 +181,13 @@
     )
     services: list[msgspec.Raw] = dataclasses.field(default_factory=list)
     limits: msgspec.Raw | None = None
+    tenants: list[msgspec.Raw] | None = None
+
+    def list_tenants(self) -> list[msgspec.Raw]:
+        """Returns the list of the tenants, begun if there is none yet."""
+        if self.tenants is None:
+            self.tenants = []
+        return self.tenants
 
 
 @functools.singledispatch
@@ -182,6 +211,16 @@
     parts.limits = _untagged("limits", text)
 
 
+@_collect.register
+def _(entry: _TenantText, text: str, parts: _DocumentParts) -> None:
+    parts.list_tenants().append(_untagged("tenant", text))
+
+
+@_collect.register
+def _(entry: _TenancyText, text: str, parts: _DocumentParts) -> None:
+    parts.list_tenants()
+
+
 def _untagged(kind: str, text: str) -> msgspec.Raw:
     fields = text.removeprefix(f'{{"type":"{kind}"').removeprefix(",")
     return msgspec.Raw(f"{{{fields}".encode())
--- a/src/fulmarrudder/platform/entry.py
+++ b/src/fulmarrudder/platform/entry.py
@@ -1,5 +1,6 @@
 """Parses and validates the entries of a configuration."""
 
+import dataclasses
 import functools
 from collections.abc import Iterable
 from typing import Annotated, Literal
@@ -7,12 +8,20 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from fulmarrudder.model import Limits, Route, Service, WeightedService
+from fulmarrudder.model import (
+    Limits,
+    Route,
+    Service,
+    Tenant,
+    WeightedService,
+)
 from fulmarrudder.platform.decoding import (
     DECODE_ERRORS,
+    Key,
     Milliseconds,
     Name,
     Natural,
+    NonNegative,
     Positive,
     PositiveMilliseconds,
     Prefix,
@@ -21,13 +30,23 @@
 )
 from fulmarrudder.platform.errors import DocumentError
 
-Part = Route | Service | Limits
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tenancy:
+    """Tells that requests need a key, also where no tenant is listed."""
+
+
+Part = Route | Service | Limits | Tenant | Tenancy
 
 
 class _ServiceEntry(msgspec.Struct, tag="service"):
     name: Name
     # Connections that one target accepts from all nodes together.
     maxConnections: Positive  # noqa: N815
+    cold_start: Milliseconds = msgspec.field(
+        name="coldStart", default=Milliseconds(0.0)
+    )
+    cold_per_s: NonNegative = msgspec.field(name="coldPerS", default=0.0)
 
 
 class _WeightedService(msgspec.Struct):
@@ -53,6 +72,7 @@
         name="targetLatency", default=Milliseconds(0.0)
     )
     rank: Natural = msgspec.field(name="priority", default=0)
+    exempt: bool = msgspec.field(name="authExempt", default=False)
 
     def __post_init__(self):
         if (self.service is None) == (self.split is None):
@@ -73,13 +93,28 @@
     idle_timeout: PositiveMilliseconds = msgspec.field(name="idleTimeout")
 
 
+class _TenantEntry(msgspec.Struct, tag="tenant"):
+    name: Name
+    keys: list[Key] = msgspec.field(name="apiKeys")
+    rank: Natural | None = msgspec.field(name="priority", default=None)
+    requests_per_s: NonNegative = msgspec.field(name="ratePerS", default=0.0)
+    burst: NonNegative = msgspec.field(name="burstSize", default=0.0)
+
+
+class _TenancyEntry(msgspec.Struct, tag="tenancy"):
+    pass
+
+
 _ENTRY_KINDS = {
     "route": _RouteEntry,
     "service": _ServiceEntry,
     "limits": _LimitsEntry,
+    "tenant": _TenantEntry,
+    "tenancy": _TenancyEntry,
 }
 _decode_entry = msgspec.json.Decoder(
-    _RouteEntry | _ServiceEntry | _LimitsEntry, dec_hook=decode_value
+    _RouteEntry | _ServiceEntry | _LimitsEntry | _TenantEntry | _TenancyEntry,
+    dec_hook=decode_value,
 ).decode
 
 
@@ -107,7 +142,29 @@
 
 @_part_of.register
 def _(entry: _ServiceEntry) -> Part:
-    return Service(name=entry.name, target_versions=(), initial="")
+    return Service(
+        name=entry.name,
+        target_versions=(),
+        initial="",
+        cold_start_ms=int(entry.cold_start),
+        cold_per_s=entry.cold_per_s,
+    )
+
+
+@_part_of.register
+def _(entry: _TenantEntry) -> Part:
+    return Tenant(
+        name=entry.name,
+        keys=tuple(dict.fromkeys(entry.keys)),
+        rank=entry.rank,
+        requests_per_s=entry.requests_per_s,
+        burst=entry.burst,
+    )
+
+
+@_part_of.register
+def _(entry: _TenancyEntry) -> Part:
+    return Tenancy()
 
 
 @_part_of.register
@@ -139,6 +196,7 @@
         rank=path.rank,
         latency_objective_ms=int(path.latency_objective),
         attempts=path.max_attempts,
+        exempt=path.exempt,
     )
 
 
--- a/src/fulmarrudder/platform/header_names.py
+++ b/src/fulmarrudder/platform/header_names.py
@@ -13,4 +13,6 @@
     load=b"x-instance-load",
     requests_per_s=b"server-limit",
     leaving=b"server-leaving",
+    api_key=b"x-api-key",
+    tenant=b"x-tenant-id",
 )
--- a/src/fulmarrudder/platform/operator_records.py
+++ b/src/fulmarrudder/platform/operator_records.py
@@ -101,6 +101,7 @@
             ),
             source=source,
             change=config.change,
+            keys=config.keys,
         )
         if source is VersionSource.STORE and before.version:
             self.node.gossip.tell_change(
--- a/src/fulmarrudder/platform/settings.py
+++ b/src/fulmarrudder/platform/settings.py
@@ -38,6 +38,8 @@
     )
     retry_ratio: float = pydantic.Field(0.2, alias="retryBudgetRatio")
     retry_slack: float = pydantic.Field(50.0, alias="budgetSlack")
+    fail_closed: bool = pydantic.Field(False, alias="revokeFailClosed")
+    revoke: Milliseconds = 5_000.0
 
 
 class _Limits(PlatformModel):
@@ -93,6 +95,9 @@
         log_level: Lowest level of the lines that are logged.
         first_start: Whether the whole fleet may be starting for the first
             time.
+        fail_closed: Whether requests that need a key are refused while the
+            configuration is not confirmed.
+        revoke_s: Seconds without a confirmation after which that is so.
     """
 
     node: str
@@ -114,6 +119,8 @@
     link_bytes_per_s: float
     log_level: str
     first_start: bool = True
+    fail_closed: bool = False
+    revoke_s: float = 5.0
 
 
 def parse_machine_settings(text: str) -> Result[MachineSettings, SettingsError]:
@@ -153,6 +160,8 @@
             link_bytes_per_s=model.limits.link_mbps * BYTES_PER_MEGABIT,
             log_level=model.log_level,
             first_start=model.bootstrap,
+            fail_closed=model.bounds.fail_closed,
+            revoke_s=model.bounds.revoke / 1000,
         )
     )
 
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -7,7 +7,7 @@
 
 from fulmarrudder.distribution.entries import Entries, entries_of
 from fulmarrudder.model import Limits, WeightedService
-from fulmarrudder.platform.config import parse_config
+from fulmarrudder.platform.config import Config, build_config, parse_config
 from fulmarrudder.platform.document import (
     join_config,
     read_version,
@@ -145,3 +145,72 @@
 )
 def test_text_that_is_no_entry_is_refused(text):
     assert parse_entries([text]).is_error()
+
+
+TENANTS = [
+    {"name": "acme", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 2.5},
+    {"name": "beta", "apiKeys": ["k3"], "burstSize": 7},
+]
+
+
+def with_tenants(*tenants):
+    return json.dumps(CONFIG | {"tenants": list(tenants)}).encode()
+
+
+def test_tenants_are_read_and_put_together_again():
+    data = with_tenants(*TENANTS)
+    acme, beta = parse_config(data).ok[1].tenants
+    assert (acme.keys, acme.rank, acme.requests_per_s) == (("k1", "k2"), 1, 2.5)
+    assert (beta.keys, beta.rank, beta.burst) == (("k3",), None, 7.0)
+    entries = entries_of(split_config(data).ok.texts, Entries())
+    assert json.loads(join_config(12, entries))["tenants"] == TENANTS
+
+
+@pytest.mark.parametrize(("tenants", "expected"), [(None, None), ([], ())])
+def test_a_list_without_tenants_is_not_the_same_as_no_list(tenants, expected):
+    config = CONFIG if tenants is None else CONFIG | {"tenants": tenants}
+    data = json.dumps(config).encode()
+    assert parse_config(data).ok[1].tenants == expected
+    entries = entries_of(split_config(data).ok.texts, Entries())
+    assert json.loads(join_config(12, entries)).get("tenants") == tenants
+
+
+@pytest.mark.parametrize(
+    "tenants",
+    [
+        [TENANTS[0], TENANTS[0]],
+        [TENANTS[0], {"name": "other", "apiKeys": ["k2"]}],
+        [TENANTS[0], {"name": "acme", "apiKeys": ["k9"]}],
+        [{"name": "acme", "apiKeys": ["a b"]}],
+        [{"name": "acme"}],
+        [{"name": "acme", "apiKeys": ["k1"], "ratePerS": -1}],
+    ],
+)
+def test_configurations_with_unfit_tenants_are_refused_whole(tenants):
+    refused = parse_config(with_tenants(*tenants))
+    assert refused.is_error()
+    assert "k2" not in str(refused.error)
+
+
+def test_a_version_that_moves_a_key_changes_two_tenants():
+    first = _built(Config(), with_tenants(*TENANTS))
+    moved = [
+        TENANTS[0] | {"apiKeys": ["k1"]},
+        TENANTS[1] | {"apiKeys": ["k2", "k3"]},
+    ]
+    second = _built(first, with_tenants(*moved))
+    names = {k: t.name for k, t in second.keys.by_key.items()}
+    assert names == {b"k1": "acme", b"k2": "beta", b"k3": "beta"}
+    same = _built(second, with_tenants(*moved))
+    assert same.arrangement.tenants is second.arrangement.tenants
+    assert _built(same, json.dumps(CONFIG).encode()).keys is None
+
+
+def _built(base, data):
+    split = split_config(data).ok
+    entries = entries_of(split.texts, Entries())
+    new = [t for t in split.texts if t not in base.entries.ids]
+    parts = parse_entries(new).ok
+    ids = [entries.ids[text] for text in new]
+    new_parts = dict(zip(ids, parts, strict=True))
+    return build_config(base, split.version, entries, new_parts).ok
--- /dev/null
+++ b/tests/tenants/test_identify.py
@@ -0,0 +1,126 @@
+"""The tenant of a request is told by its key, which ends at the entry node."""
+
+import pytest
+from twisted.internet.task import Clock
+
+from fulmarrudder.call.freshness import ConfigFreshness
+from fulmarrudder.call.header_names import HeaderNames
+from fulmarrudder.call.message import Headers, RequestHead
+from fulmarrudder.call.refusals import UNCONFIRMED_KEYS, UNKNOWN_KEY
+from fulmarrudder.call.route import RoutedRequest
+from fulmarrudder.model import Route, Tenant
+from fulmarrudder.tenants import Credentials, Identifier
+from fulmarrudder.tenants.keys import KeyTable, key_table_of
+
+NAMES = HeaderNames(api_key=b"x-key", tenant=b"x-tenant")
+ACME = Tenant(name="acme", keys=("k1", "k2"))
+BETA = Tenant(name="beta", keys=("k3",))
+ROUTE = Route(name="r", host="", prefix="/", service="s")
+OPEN_ROUTE = Route(name="o", host="", prefix="/o/", service="s", exempt=True)
+
+
+def identifier_of(*tenants):
+    identifier = Identifier(Clock(), NAMES, ConfigFreshness(confirmed_at=0.0))
+    identifier.keys = key_table_of(tenants).ok
+    return identifier
+
+
+def routed_with(*fields, route=ROUTE):
+    head = RequestHead(
+        method=b"GET", target=b"/a", headers=Headers((*fields, (b"a", b"1")))
+    )
+    return RoutedRequest(head=head, route=route, service="s")
+
+
+@pytest.mark.parametrize(
+    ("fields", "route", "tenant"),
+    [
+        ([(b"x-key", b"k1")], ROUTE, ACME),
+        ([(b"x-key", b"k3"), (b"x-tenant", b"acme")], ROUTE, BETA),
+        ([(b"x-key", b"k2")], OPEN_ROUTE, ACME),
+        ([(b"x-key", b"none")], OPEN_ROUTE, None),
+        ([(b"x-tenant", b"acme")], OPEN_ROUTE, None),
+    ],
+)
+def test_request_gets_the_tenant_of_its_key(fields, route, tenant):
+    found = identifier_of(ACME, BETA).identify(
+        routed_with(*fields, route=route)
+    )
+    told = [] if tenant is None else [(b"x-tenant", tenant.name.encode())]
+    assert found.tenant is tenant
+    assert list(found.head.headers.fields) == [(b"a", b"1"), *told]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        [],
+        [(b"x-key", b"")],
+        [(b"x-key", b"K1")],
+        [(b"x-key", b"k1 ")],
+        [(b"x-key", b"k1"), (b"x-key", b"k3")],
+        [(b"x-tenant", b"acme")],
+    ],
+)
+def test_request_without_a_known_key_is_refused(fields):
+    refused = identifier_of(ACME, BETA).identify(routed_with(*fields))
+    assert refused is UNKNOWN_KEY
+    assert refused.status == 401
+
+
+def test_without_tenants_a_request_stays_as_it_is():
+    identifier = identifier_of()
+    identifier.keys = None
+    routed = routed_with((b"x-key", b"k1"), (b"x-tenant", b"acme"))
+    assert identifier.identify(routed) is routed
+
+
+def test_a_list_without_tenants_lets_nobody_in():
+    refused = identifier_of().identify(routed_with((b"x-key", b"k1")))
+    assert refused is UNKNOWN_KEY
+
+
+@pytest.mark.parametrize(
+    ("fail_closed", "age_s", "route", "is_served"),
+    [
+        (False, 100.0, ROUTE, True),
+        (True, 4.9, ROUTE, True),
+        (True, 5.1, ROUTE, False),
+        (True, 5.1, OPEN_ROUTE, True),
+    ],
+)
+def test_unconfirmed_keys_are_refused_where_that_is_demanded(
+    fail_closed, age_s, route, is_served
+):
+    identifier = identifier_of(ACME)
+    identifier.credentials = Credentials(
+        fail_closed=fail_closed, unconfirmed_s=5.0
+    )
+    identifier.clock.advance(age_s)
+    found = identifier.identify(routed_with((b"x-key", b"k1"), route=route))
+    assert (found is not UNCONFIRMED_KEYS) == is_served
+
+
+def test_a_key_may_move_from_one_tenant_to_another():
+    before = key_table_of([ACME, BETA]).ok
+    poorer = Tenant(name="acme", keys=("k1",))
+    richer = Tenant(name="beta", keys=("k2", "k3"))
+    after = before.changed(removed=[ACME, BETA], added=[poorer, richer]).ok
+    assert after.by_key == {b"k1": poorer, b"k2": richer, b"k3": richer}
+    assert before.by_key[b"k2"] is ACME
+
+
+@pytest.mark.parametrize(
+    "added",
+    [
+        [Tenant(name="beta", keys=("k1",))],
+        [Tenant(name="acme", keys=("k9",))],
+        [Tenant(name="b", keys=("k9",)), Tenant(name="c", keys=("k9",))],
+    ],
+)
+def test_shared_keys_and_names_are_refused_without_telling_the_key(added):
+    table = KeyTable().changed(removed=(), added=[ACME]).ok
+    refused = table.changed(removed=(), added=added)
+    assert refused.is_error()
+    assert "k1" not in str(refused.error)
+    assert "k9" not in str(refused.error)
