An Idempotency-Key on the platform is a field like any other; claims always end

Change: HeaderNames names the field of the key; the platform's is empty, as what may be repeated follows there from the kind of the route. The hop and the fingerprint of a request follow the same name. A claim that can't be written or read, for whatever reason, and a log that never answers, refuse the request as "not run" by its deadline. The Deferreds of the writer no longer wait for what raises.

--- a/src/fulmarrudder/call/claims.py
+++ b/src/fulmarrudder/call/claims.py
@@ -13,7 +13,9 @@
 from twisted.internet.defer import (
     CancelledError,
     Deferred,
+    TimeoutError,
     inlineCallbacks,
+    maybeDeferred,
 )
 from twisted.internet.task import deferLater
 
@@ -30,6 +32,7 @@
     encode_envelope,
 )
 from fulmarrudder.model import ClaimKey, KeyRecordBody, ReleaseKey, SettleKey
+from fulmarrudder.observe import logs
 
 READ_LIMIT_RECORDS = 500
 SETTLEMENT_READ_WAIT_MS = 500
@@ -99,7 +102,8 @@
         if self.queue:
             self.flush_timer = self.clock.callLater(0, self._flush)
         texts = tuple(text for text, _ in batch)
-        appending = self.log.append(self.stream, texts)
+        # What a client of the log raises must not leave the batch waiting.
+        appending = maybeDeferred(self.log.append, self.stream, texts)
         appending.addCallbacks(
             lambda first: self._appended(batch, first),
             lambda failure: self._failed(batch, failure),
@@ -156,6 +160,16 @@
         except CancelledError:
             self._enqueue(ReleaseKey(key=key, claim=claim_id))
             raise
+        except Exception as error:
+            # Nothing has run, and the caller is told so.
+            logs.error(
+                "claim-failed",
+                stream=self.stream,
+                error=type(error).__name__,
+                detail=error,
+            )
+            self._enqueue(ReleaseKey(key=key, claim=claim_id))
+            return Unavailable()
 
     async def _claim(
         self, claim_id: str, key: str, fingerprint: str, deadline: float
@@ -194,7 +208,8 @@
         reply_deadline = deadline - REPLY_MARGIN_S
         while entry.settled is None and self.clock.seconds() < reply_deadline:
             left_ms = int((reply_deadline - self.clock.seconds()) * 1000)
-            if not await self._read(min(SETTLEMENT_READ_WAIT_MS, left_ms)):
+            wait_ms = min(SETTLEMENT_READ_WAIT_MS, left_ms)
+            if not await self._read(wait_ms, reply_deadline):
                 return Pending()
             if entry.settled is None:
                 await self._sleep(SETTLEMENT_POLL_S, deadline)
@@ -211,7 +226,9 @@
         text = encode_envelope(envelope)
         while self.clock.seconds() < deadline:
             try:
-                return await self.writer.append(text)
+                return await self._until(deadline, self.writer.append(text))
+            except TimeoutError:
+                break
             except UnavailableError:
                 await self._sleep(backoff.next_delay(), deadline)
         return None
@@ -220,22 +237,25 @@
         while self.index.next_offset <= offset:
             if self.clock.seconds() >= deadline:
                 return False
-            if not await self._read(0):
+            if not await self._read(0, deadline):
                 await self._sleep(RETRY_BASE_DELAY_S, deadline)
         return True
 
-    async def _read(self, wait_ms: int) -> bool:
+    async def _read(self, wait_ms: int, deadline: float) -> bool:
         try:
-            batch = await self.log.read(
-                self.stream,
-                start=self.index.next_offset,
-                limit=READ_LIMIT_RECORDS,
-                wait_ms=wait_ms,
+            batch = await self._until(
+                deadline,
+                self.log.read(
+                    self.stream,
+                    start=self.index.next_offset,
+                    limit=READ_LIMIT_RECORDS,
+                    wait_ms=wait_ms,
+                ),
             )
         except ExpiredError as error:
             self.index.expire(error.oldest_offset)
             return True
-        except UnavailableError:
+        except (UnavailableError, TimeoutError):
             return False
         self.index.expire(batch.oldest_offset)
         for raw in batch.records:
@@ -244,6 +264,11 @@
                 self.index.apply(raw.offset, decoded.default_value(None))
         return True
 
+    def _until(self, deadline: float, waiting: Deferred) -> Deferred:
+        """Returns a Deferred that fails with `TimeoutError` at a deadline."""
+        left_s = max(0.0, deadline - self.clock.seconds())
+        return waiting.addTimeout(left_s, self.clock)
+
     def _sleep(self, delay: float, deadline: float) -> Deferred:
         left_s = max(0.0, deadline - self.clock.seconds())
         return deferLater(self.clock, min(delay, left_s))
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -247,7 +247,7 @@
                 prefix = await waiting.addTimeout(left_s, self.clock)
             except TimeoutError:
                 return refusal_answer(BODY_LATE)
-        call.fingerprint = fingerprint_of(call.head, prefix)
+        call.fingerprint = fingerprint_of(call.head, prefix, self.header_names)
         poison = refuse_poison_request(
             self.facts, call.fingerprint, wall_seconds()
         )
--- a/src/fulmarrudder/call/header_names.py
+++ b/src/fulmarrudder/call/header_names.py
@@ -8,6 +8,7 @@
 import enum
 
 from fulmarrudder.call.message import (
+    IDEMPOTENCY_KEY_HEADER,
     TIMEOUT_HEADER,
     Field,
     Headers,
@@ -39,6 +40,8 @@
         leaving: From targets: "1" if the target is about to stop.
         api_key: From callers: key of their tenant; never passed on.
         tenant: To targets: name of the tenant.
+        idempotency_key: From callers: key of a request that must run at most
+            once, however often it is sent.
     """
 
     caller_timeout: bytes = TIMEOUT_HEADER
@@ -53,6 +56,7 @@
     leaving: bytes = b""
     api_key: bytes = b""
     tenant: bytes = b""
+    idempotency_key: bytes = IDEMPOTENCY_KEY_HEADER
 
 
 DEFAULT_HEADER_NAMES = HeaderNames()
@@ -109,6 +113,18 @@
     return AnswerValidity.VALID
 
 
+def key_of(head: RequestHead, header_names: HeaderNames) -> bytes:
+    """Returns the idempotency key of a request, or empty.
+
+    Args:
+        head: Head of the request.
+        header_names: Field names.
+    """
+    if not header_names.idempotency_key:
+        return b""
+    return head.headers.get(header_names.idempotency_key) or b""
+
+
 def target_fields(
     header_names: HeaderNames, *, left_ms: int, target: str
 ) -> tuple[Field, ...]:
--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -8,9 +8,13 @@
 import urllib.parse
 
 from fulmarrudder.call.endpoint_stats import LoadReport
+from fulmarrudder.call.header_names import (
+    DEFAULT_HEADER_NAMES,
+    HeaderNames,
+    key_of,
+)
 from fulmarrudder.call.host import HostRequest
 from fulmarrudder.call.message import (
-    IDEMPOTENCY_KEY_HEADER,
     LOAD_HEADER,
     PEER_HEADER,
     RAN_HEADER,
@@ -102,7 +106,10 @@
 
 
 def parse_host_request(
-    head: RequestHead, value: bytes, now: float
+    head: RequestHead,
+    value: bytes,
+    now: float,
+    header_names: HeaderNames = DEFAULT_HEADER_NAMES,
 ) -> HostRequest | Refusal:
     """Parses the request that another node sent.
 
@@ -110,6 +117,7 @@
         head: A sanitized head from an authenticated node.
         value: Value of the peer field.
         now: Clock seconds.
+        header_names: Field names.
 
     Returns:
         The request, or a refusal when parts are missing or wrong.
@@ -129,7 +137,7 @@
     if len(service) < MIN_NAME_BYTES or len(version) < MIN_NAME_BYTES:
         return malformed("target is missing")
     repeatable = b"r" in flags
-    key = b"" if repeatable else head.headers.get(IDEMPOTENCY_KEY_HEADER) or b""
+    key = b"" if repeatable else key_of(head, header_names)
     return HostRequest(
         head=head,
         service=_decode_name(service),
--- a/src/fulmarrudder/call/plan.py
+++ b/src/fulmarrudder/call/plan.py
@@ -7,15 +7,12 @@
 from fulmarrudder.call.header_names import (
     DEFAULT_HEADER_NAMES,
     HeaderNames,
+    key_of,
     with_calling_service,
 )
 from fulmarrudder.call.hop import with_traceparent
 from fulmarrudder.call.host import HostRequest
-from fulmarrudder.call.message import (
-    IDEMPOTENCY_KEY_HEADER,
-    Refusal,
-    RequestHead,
-)
+from fulmarrudder.call.message import Refusal, RequestHead
 from fulmarrudder.call.refusals import malformed
 from fulmarrudder.call.route import RoutedRequest
 from fulmarrudder.model import Presence, Route, Tenant
@@ -182,7 +179,7 @@
     idempotent = route.idempotent or (
         route.by_method and head.method in IDEMPOTENT_METHODS
     )
-    key = head.headers.get(IDEMPOTENCY_KEY_HEADER) or b""
+    key = key_of(head, header_names)
     if len(key) > MAX_KEY_BYTES:
         return malformed("Idempotency-Key is too long")
     soft_deadline = 0.0
--- a/src/fulmarrudder/call/poison.py
+++ b/src/fulmarrudder/call/poison.py
@@ -2,13 +2,12 @@
 
 import hashlib
 
-from fulmarrudder.call.message import (
-    IDEMPOTENCY_KEY_HEADER,
-    Ran,
-    Refusal,
-    RefusalReason,
-    RequestHead,
+from fulmarrudder.call.header_names import (
+    DEFAULT_HEADER_NAMES,
+    HeaderNames,
+    key_of,
 )
+from fulmarrudder.call.message import Ran, Refusal, RefusalReason, RequestHead
 from fulmarrudder.membership import FactStore
 
 FINGERPRINT_BODY_BYTES = 1_024
@@ -17,15 +16,20 @@
 STRIKE_TTL_S = 600.0
 
 
-def fingerprint_of(head: RequestHead, prefix: bytes) -> str:
+def fingerprint_of(
+    head: RequestHead,
+    prefix: bytes,
+    header_names: HeaderNames = DEFAULT_HEADER_NAMES,
+) -> str:
     """Returns a digest that is the same when a request is sent again.
 
     Args:
         head: Its head.
         prefix: The first `FINGERPRINT_BODY_BYTES` of its body.
+        header_names: Field names.
     """
     digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
-    key = head.headers.get(IDEMPOTENCY_KEY_HEADER) or b""
+    key = key_of(head, header_names)
     for part in (head.method, head.target, key, prefix):
         digest.update(len(part).to_bytes(4, "big"))
         digest.update(part)
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -125,7 +125,9 @@
         steps = (
             sanitize_request,
             lambda head: with_traceparent(head, traceparent),
-            lambda head: parse_host_request(head, peer_value, now),
+            lambda head: parse_host_request(
+                head, peer_value, now, self.factory.host.header_names
+            ),
         )
         request = run_steps(self.head, steps, Refusal)
         if isinstance(request, Refusal):
--- a/src/fulmarrudder/platform/header_names.py
+++ b/src/fulmarrudder/platform/header_names.py
@@ -15,4 +15,5 @@
     leaving=b"server-leaving",
     api_key=b"x-api-key",
     tenant=b"x-tenant-id",
+    idempotency_key=b"",
 )
