--- a/src/fulmarrudder/call/__init__.py
+++ b/src/fulmarrudder/call/__init__.py
@@ -4,6 +4,7 @@
 
 * `server`, `codec`: connections, and bytes to messages.
 * `served`: one call; passes it to `entry` or `host`, and sends the answer.
+* `leaving`: callers that leave while their bodies wait.
 * `start`: requests that come while the node starts wait for a moment.
 * `sanitizer`: strict checks of heads, and removal of hop-by-hop fields.
 * `route`: route and service of the request.
--- a/src/fulmarrudder/call/body.py
+++ b/src/fulmarrudder/call/body.py
@@ -15,6 +15,16 @@
 MAX_REPLAY_BYTES = 65_536
 
 
+class Watch(Protocol):
+    """Reads on bodies that wait; see `LeavingWatch`."""
+
+    def add(self, body: "RequestBody") -> None:
+        """Watches a body that waits."""
+
+    def discard(self, body: "RequestBody") -> None:
+        """Ends the watch of a body."""
+
+
 class BodySink(Protocol):
     """Consumer of a body."""
 
@@ -42,10 +52,16 @@
         prefix_size: Number of bytes that `prefix_ready` waits for.
         prefix_ready: Deferred of the first bytes, or None.
         on_end: Called once no more of the body will arrive, or None.
+        watch: Watches the body while it waits, or None.
+        ahead_bytes: Bytes read since reading was paused.
+        is_reading_on: Whether the next bytes are read although it is paused.
     """
 
     __slots__ = (
+        "ahead_bytes",
+        "is_reading_on",
         "on_end",
+        "watch",
         "ended",
         "replay_buffer",
         "lost",
@@ -58,13 +74,19 @@
         "prefix_ready",
     )
 
-    def __init__(self, source, *, empty: bool = False):
+    def __init__(
+        self, source, *, empty: bool = False, watch: Watch | None = None
+    ):
         """Initializes the body of a request.
 
         Args:
             source: Transport that the body is read from.
             empty: Whether the head states that there is no body.
+            watch: Watches the body while it waits, or None.
         """
+        self.watch = watch
+        self.ahead_bytes = 0
+        self.is_reading_on = False
         self.source = source
         self.replay_buffer: list[bytes] = []
         self.received_bytes = 0
@@ -80,6 +102,9 @@
     def receive_part(self, data: bytes) -> None:
         """Receives a part from the connection."""
         self.received_bytes += len(data)
+        if self.paused:
+            self.ahead_bytes += len(data)
+            self._stop_reading_on()
         if self.replayable:
             self.replay_buffer.append(data)
         if self.sink is not None:
@@ -103,6 +128,8 @@
 
     def receive_abort(self) -> None:
         """Handles the loss of the connection before the end."""
+        if self.watch is not None:
+            self.watch.discard(self)
         if self.ended:
             return
         self.lost = True
@@ -180,15 +207,33 @@
 
     def pauseProducing(self) -> None:  # noqa: N802
         """Pauses reading from the connection."""
-        if not self.paused and not self.ended:
-            self.paused = True
-            self.source.pauseProducing()
+        if self.paused or self.ended or self.lost:
+            return
+        self.paused = True
+        self.source.pauseProducing()
+        if self.watch is not None:
+            self.watch.add(self)
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Resumes reading from the connection."""
-        if self.paused:
-            self.paused = False
+        if not self.paused:
+            return
+        self.paused = self.is_reading_on = False
+        self.ahead_bytes = 0
+        if self.watch is not None:
+            self.watch.discard(self)
+        self.source.resumeProducing()
+
+    def read_on(self) -> None:
+        """Reads the next bytes of a paused connection, or its end."""
+        if self.paused and not self.is_reading_on:
+            self.is_reading_on = True
             self.source.resumeProducing()
 
+    def _stop_reading_on(self) -> None:
+        if self.is_reading_on:
+            self.is_reading_on = False
+            self.source.pauseProducing()
+
     def stopProducing(self) -> None:  # noqa: N802
         """Does nothing; a sink handles the loss of its own connection."""
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -64,7 +64,9 @@
         self.write_buffer = connection.write_buffer
         self.head = head
         empty = head.framing is Framing.NONE
-        self.body = RequestBody(self.transport, empty=empty)
+        self.body = RequestBody(
+            self.transport, empty=empty, watch=self.factory.leaving_watch
+        )
         self.pending_answer: Deferred | None = None
         self.answer: Answer | None = None
         self.framing = Framing.NONE
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -16,6 +16,7 @@
 from fulmarrudder.call.errors import ProtocolError
 from fulmarrudder.call.hop import parse_token
 from fulmarrudder.call.host import HostPipeline
+from fulmarrudder.call.leaving import LeavingWatch
 from fulmarrudder.call.message import (
     BodyEnd,
     BodyPart,
@@ -53,6 +54,7 @@
         leaving: Whether the node drains: connections close once idle.
         active: Number of calls in progress.
         drain_waiters: Deferreds that fire when every connection is closed.
+        leaving_watch: Notices callers that leave while their bodies wait.
     """
 
     noisy = False
@@ -79,6 +81,7 @@
         self.active = 0
         self.drain_waiters: list[Deferred] = []
         self.events = entry.report.events
+        self.leaving_watch = LeavingWatch(clock)
 
     def buildProtocol(self, addr):  # noqa: N802
         """Builds the protocol of one connection."""
