--- a/src/fulmarrudder/call/upstream.py
+++ b/src/fulmarrudder/call/upstream.py
@@ -168,7 +168,10 @@
         if exchange is None:
             return
         self._report_loss(exchange, reason)
-        is_clean = reason.check(ConnectionDone) is not None
+        is_clean = (
+            reason.check(ConnectionDone) is not None
+            and not self.write_buffer.failed
+        )
         if (
             self.decoder.is_close_delimited
             and exchange.head is not None
--- a/src/fulmarrudder/call/write_buffer.py
+++ b/src/fulmarrudder/call/write_buffer.py
@@ -20,12 +20,16 @@
         flush_call: Timer of the next flush, or None.
         corked: Whether data is buffered until `uncork`.
         can_write_directly: Whether the transport has `writeSomeData`.
+        failed: Whether a direct write has met an error of the socket. A socket
+            reports its error once: the read after it meets an end that looks
+            like a close.
     """
 
     __slots__ = (
         "clock",
         "corked",
         "can_write_directly",
+        "failed",
         "flush_call",
         "pending",
         "transport",
@@ -38,6 +42,7 @@
         self.pending: list[bytes] = []
         self.flush_call = None
         self.corked = False
+        self.failed = False
 
     def cork(self) -> None:
         """Buffers data until `uncork`, or until the end of a message."""
@@ -81,6 +86,8 @@
             sent = transport.writeSomeData(data)
             if isinstance(sent, int):
                 data = data[sent:]
+            else:
+                self.failed = True
         if data:
             transport.write(data)
 
--- a/tests/processes/test_target_reset.py
+++ b/tests/processes/test_target_reset.py
@@ -8,8 +8,10 @@
 from twisted.internet.defer import ensureDeferred
 from twisted.internet.epollreactor import EPollReactor
 
-from fulmarrudder.call.message import Headers, RequestHead
+from fulmarrudder.call.body import RequestBody
+from fulmarrudder.call.message import Framing, Headers, RequestHead
 from fulmarrudder.call.upstream import ConnectionPool
+from tests.call.fakes import FakeSource
 from tests.call.test_host import RecordingSink
 
 GET = RequestHead(method=b"GET", target=b"/", headers=Headers())
@@ -33,11 +35,11 @@
             assert time.monotonic() < end, "did not happen in time"
             self.reactor.iterate(0.01)
 
-    def start_exchange(self):
+    def start_exchange(self, head=GET, body=None):
         port = self.listener.getsockname()[1]
         acquiring = ensureDeferred(self.pool.acquire(f"127.0.0.1:{port}"))
         self.turn_until(lambda: acquiring.called)
-        exchange = acquiring.result.start(GET, None)
+        exchange = acquiring.result.start(head, body)
         self.target, _ = self.listener.accept()
         # A close with unread bytes is a reset.
         assert self.target.recv(65_536).endswith(b"\r\n\r\n")
@@ -93,3 +95,65 @@
     loop.target.close()
     loop.turn_until(lambda: failures)
     assert not exchange.head_delivered
+
+
+UPLOADS = [
+    RequestHead(
+        method=b"POST",
+        target=b"/",
+        headers=Headers(),
+        framing=framing,
+        length=1_000_000,
+    )
+    for framing in (Framing.LENGTH, Framing.CHUNKED)
+]
+
+
+def reset_now(target):
+    target.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    target.close()
+
+
+def close_with_unread_bytes(target):
+    target.close()
+
+
+# Guards against an error of the socket that is met by a write: the read after it
+# meets an end that looks clean.
+@pytest.mark.parametrize("upload", UPLOADS)
+@pytest.mark.parametrize("size", [100, 60_000, 200_000])
+@pytest.mark.parametrize("end", [reset_now, close_with_unread_bytes])
+@pytest.mark.parametrize("is_head_read", [False, True])
+def test_reset_while_an_upload_is_written_completes_no_answer(
+    loop, upload, size, end, is_head_read
+):
+    body = RequestBody(FakeSource())
+    exchange = loop.start_exchange(upload, body)
+    body.receive_part(b"x" * 1_000)
+    loop.reactor.iterate(0.01)
+    loop.target.sendall(ANSWER + b"a" * 3_000)
+    sink, failures = RecordingSink(), []
+    exchange.head_ready.addCallbacks(
+        lambda head: exchange.stream_to(sink), failures.append
+    )
+    if is_head_read:
+        loop.turn_until(lambda: exchange.head_delivered)
+    end(loop.target)
+    time.sleep(0.02)
+    body.receive_part(b"x" * size)
+    loop.turn_until(lambda: failures or sink.ended or sink.broken)
+    assert not sink.ended
+
+
+# Guards against a clean end that counts as none because an upload goes on.
+@pytest.mark.parametrize("upload", UPLOADS)
+def test_close_while_an_upload_is_written_completes_an_answer(loop, upload):
+    body = RequestBody(FakeSource())
+    exchange = loop.start_exchange(upload, body)
+    loop.target.sendall(ANSWER)
+    loop.target.shutdown(socket.SHUT_WR)
+    sink = RecordingSink()
+    exchange.head_ready.addCallback(lambda head: exchange.stream_to(sink))
+    body.receive_part(b"x" * 100)
+    loop.turn_until(lambda: sink.ended or sink.broken)
+    assert sink.ended
