--- a/src/fulmarrudder/client.py
+++ b/src/fulmarrudder/client.py
@@ -1,9 +1,10 @@
 """The command-line client, `fulmarrudder`.
 
-Exit statuses: 0 done; 1 refused; 2 wrong usage or command; 3 not authorised;
-4 node unreachable; 5 outcome unknown.
+Exit statuses: 0 done; 1 refused, or a check that found something; 2 wrong usage or
+command; 3 not authorised; 4 node unreachable; 5 outcome unknown.
 """
 
+import dataclasses
 import json
 import pathlib
 import sys
@@ -12,15 +13,28 @@
 import urllib.request
 
 import click
+from expression import Error, Result
 
 from fulmarrudder import __version__
+from fulmarrudder.model import Arrangement
 from fulmarrudder.operate.answer import (
     ANSWERS,
+    ActiveArrangement,
     Answer,
     Denied,
     MoveList,
     Undecided,
 )
+from fulmarrudder.operate.check import (
+    Finding,
+    Kind,
+    Report,
+    compare,
+    render_line,
+)
+from fulmarrudder.operate.check import check as check_arrangement
+from fulmarrudder.operate.document import parse_document
+from fulmarrudder.operate.errors import DocumentError
 from fulmarrudder.operate.render import render
 from fulmarrudder.state_machine import Phase
 
@@ -170,6 +184,94 @@
     client.finish(client.send(f"publish expecting {expecting}", document))
 
 
+@main.command()
+@click.argument("path", type=click.Path(exists=True, path_type=pathlib.Path))
+@click.option(
+    "--against",
+    default="",
+    help="What to compare with: 'current', or the path of a document.",
+)
+@click.option(
+    "--platform",
+    is_flag=True,
+    help="Documents are the users' platform's configurations.",
+)
+@click.pass_obj
+def check(
+    client: Client, path: pathlib.Path, against: str, platform: bool
+) -> None:
+    """Checks a configuration document before it is sent."""
+    parse = _platform_parser() if platform else _parse_document
+    parsed = parse(path.read_bytes())
+    if parsed.is_error():
+        findings = tuple(
+            Finding(kind=Kind.ERROR, subject="", detail=detail)
+            for detail in str(parsed.error).split("; ")
+        )
+        _finish_check(client, Report(findings=findings))
+    differences = ()
+    if against:
+        before = _arrangement_of(client, against, parse, platform=platform)
+        differences = compare(before, parsed.ok)
+    report = Report(
+        findings=check_arrangement(parsed.ok), differences=differences
+    )
+    _finish_check(client, report)
+
+
+def _parse_document(data: bytes) -> Result[Arrangement, DocumentError]:
+    try:
+        return parse_document(json.loads(data))
+    except (ValueError, RecursionError) as error:
+        return Error(DocumentError((f"not JSON: {error}",)))
+
+
+def _platform_parser():
+    # Only this command needs the platform's models.
+    from fulmarrudder.platform.config import parse_config
+
+    return lambda data: parse_config(data).map(lambda config: config[1])
+
+
+def _arrangement_of(
+    client: Client, against: str, parse, *, platform: bool
+) -> Arrangement:
+    """Returns the arrangement to compare with, or exits."""
+    if against == "current":
+        if platform:
+            _exit(EXIT_USAGE, "--platform compares with a file only")
+        answer = client.send("show arrangement")
+        if not isinstance(answer, ActiveArrangement):
+            client.finish(answer)
+            _exit(EXIT_REFUSED, "no arrangement is in force")
+        return answer.arrangement
+    try:
+        parsed = parse(pathlib.Path(against).read_bytes())
+    except OSError as error:
+        _exit(EXIT_USAGE, f"{against}: {error.strerror}")
+    if parsed.is_error():
+        _exit(EXIT_USAGE, f"{against}: {parsed.error}")
+    return parsed.ok
+
+
+def _finish_check(client: Client, report: Report):
+    """Prints a report, and exits."""
+    if client.as_json:
+        document = dataclasses.asdict(report)
+        click.echo(json.dumps(document, indent=2, default=_value_of))
+    else:
+        lines = [*report.findings, *report.differences]
+        for columns in map(render_line, lines):
+            click.echo("  ".join(columns))
+        if not report.findings:
+            click.echo("nothing is wrong")
+    sys.exit(EXIT_REFUSED if report.findings else 0)
+
+
+def _value_of(member):
+    return member.value
+
+
 @main.command()
 @click.argument("move")
 @click.option("--service", required=True)
--- /dev/null
+++ b/src/fulmarrudder/operate/check.py
@@ -0,0 +1,290 @@
+"""Checks an arrangement before it is sent: what it lacks, and what it changes.
+
+An arrangement that has been parsed is valid. What is found here is valid and
+yet cannot mean what its author intended.
+"""
+
+import dataclasses
+import enum
+import re
+from collections.abc import Iterable, Iterator
+from functools import singledispatch
+
+from fulmarrudder.call.retry import MAX_ATTEMPTS
+from fulmarrudder.model import Arrangement, Limits, Route, Service, Tenant
+
+# What no accepted request target holds.
+_UNMATCHABLE = re.compile(r"[\x00-\x20\x7f?#]|/(\.|%2e){1,2}(/|$)", re.I)
+
+
+class Kind(enum.Enum):
+    """What a finding tells.
+
+    Attributes:
+        ERROR: The document is not valid; nodes would refuse it.
+        UNREACHABLE: No request can match the entry, or reach it.
+        CONTRADICTION: Limits of the entry do not fit together.
+    """
+
+    ERROR = "error"
+    UNREACHABLE = "never matches"
+    CONTRADICTION = "contradiction"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Finding:
+    """Something that is wrong with an arrangement.
+
+    Attributes:
+        kind: What it tells.
+        subject: The entry, such as `route quotes`; empty for the whole.
+        detail: What is wrong.
+    """
+
+    kind: Kind
+    subject: str
+    detail: str
+
+
+class Change(enum.Enum):
+    """How an entry differs."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Difference:
+    """An entry that differs between two arrangements.
+
+    Attributes:
+        change: How it differs.
+        subject: The entry.
+        detail: Fields that changed, with both values; empty if it was added or
+            removed. Keys are counted, not told.
+    """
+
+    change: Change
+    subject: str
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Report:
+    """Result of a check.
+
+    Attributes:
+        findings: What is wrong.
+        differences: What differs from the arrangement compared with.
+    """
+
+    findings: tuple[Finding, ...] = ()
+    differences: tuple[Difference, ...] = ()
+
+
+def check(arrangement: Arrangement) -> tuple[Finding, ...]:
+    """Returns what is wrong with a valid arrangement."""
+    findings = [*_check_matches(arrangement), *_check_use(arrangement)]
+    for entry in _entries_of(arrangement).values():
+        subject = _subject_of(entry)
+        for kind, detail in _faults_of(entry):
+            findings.append(Finding(kind=kind, subject=subject, detail=detail))
+    return tuple(findings)
+
+
+def compare(before: Arrangement, after: Arrangement) -> tuple[Difference, ...]:
+    """Returns what differs between two arrangements, entry by entry."""
+    old, new = _entries_of(before), _entries_of(after)
+    if before.tenants is not None:
+        old["tenants"] = "required"
+    if after.tenants is not None:
+        new["tenants"] = "required"
+    differences = []
+    for subject in old.keys() | new.keys():
+        if subject not in old:
+            found = Difference(change=Change.ADDED, subject=subject)
+        elif subject not in new:
+            found = Difference(change=Change.REMOVED, subject=subject)
+        elif old[subject] == new[subject]:
+            continue
+        else:
+            found = Difference(
+                change=Change.CHANGED,
+                subject=subject,
+                detail=", ".join(_changed_fields(old[subject], new[subject])),
+            )
+        differences.append(found)
+    return tuple(sorted(differences, key=lambda found: found.subject))
+
+
+def _entries_of(arrangement: Arrangement) -> dict[str, object]:
+    """Returns the entries of an arrangement by subject."""
+    entries = (
+        *arrangement.services,
+        *arrangement.routes,
+        *(arrangement.tenants or ()),
+        arrangement.limits,
+    )
+    return {_subject_of(entry): entry for entry in entries}
+
+
+def _changed_fields(old, new) -> Iterator[str]:
+    for field in dataclasses.fields(new):
+        before, after = getattr(old, field.name), getattr(new, field.name)
+        if before == after:
+            continue
+        if field.name == "keys":
+            added = len(set(after) - set(before))
+            removed = len(set(before) - set(after))
+            yield f"keys: {added} added, {removed} removed"
+            continue
+        yield f"{field.name}: {_short(before)} -> {_short(after)}"
+
+
+def _short(value) -> str:
+    if isinstance(value, tuple):
+        return "/".join(_short(item) for item in value) or "-"
+    if dataclasses.is_dataclass(value):
+        return ":".join(_short(item) for item in dataclasses.astuple(value))
+    return "-" if value is None else f"{value:g}" if value == 0 else str(value)
+
+
+def _check_matches(arrangement: Arrangement) -> Iterator[Finding]:
+    """Yields routes behind others that match the same requests."""
+    holders: dict[tuple[str, str, str], Route] = {}
+    for route in arrangement.routes:
+        for caller in route.callers or ("",):
+            match = (route.host, route.prefix, caller)
+            holder = holders.setdefault(match, route)
+            if holder is route:
+                continue
+            yield Finding(
+                kind=Kind.UNREACHABLE,
+                subject=_subject_of(route),
+                detail=f"route {holder.name} has the same host and prefix",
+            )
+            break
+
+
+def _check_use(arrangement: Arrangement) -> Iterator[Finding]:
+    """Yields entries that no request needs."""
+    used = {route.service for route in arrangement.routes}
+    for route in arrangement.routes:
+        used.update(part.service for part in route.split if part.weight)
+    for service in arrangement.services:
+        if service.name in used:
+            continue
+        yield Finding(
+            kind=Kind.UNREACHABLE,
+            subject=_subject_of(service),
+            detail="no route leads to it",
+        )
+    if arrangement.tenants == ():
+        for route in arrangement.routes:
+            if route.exempt:
+                continue
+            yield Finding(
+                kind=Kind.UNREACHABLE,
+                subject=_subject_of(route),
+                detail="needs a key, and there is no tenant",
+            )
+
+
+@singledispatch
+def _subject_of(entry) -> str:
+    raise TypeError(f"not an entry: {type(entry).__name__}")
+
+
+@_subject_of.register
+def _(entry: Service) -> str:
+    return f"service {entry.name}"
+
+
+@_subject_of.register
+def _(entry: Route) -> str:
+    return f"route {entry.name}"
+
+
+@_subject_of.register
+def _(entry: Tenant) -> str:
+    return f"tenant {entry.name}"
+
+
+@_subject_of.register
+def _(entry: Limits) -> str:
+    return "limits"
+
+
+@singledispatch
+def _faults_of(entry) -> Iterable[tuple[Kind, str]]:
+    """Yields what is wrong with an entry by itself."""
+    return ()
+
+
+@_faults_of.register
+def _(entry: Service) -> Iterable[tuple[Kind, str]]:
+    if entry.cold_per_s and not entry.cold_start_ms:
+        yield Kind.CONTRADICTION, "limits cold targets, and none is ever cold"
+
+
+@_faults_of.register
+def _(entry: Route) -> Iterable[tuple[Kind, str]]:
+    if _UNMATCHABLE.search(entry.prefix):
+        yield Kind.UNREACHABLE, f"no request has the prefix {entry.prefix!r}"
+    if ":" in entry.host:
+        yield Kind.UNREACHABLE, "hosts are compared without their port"
+    if entry.split:
+        for part in entry.split:
+            if not part.weight:
+                yield (
+                    Kind.UNREACHABLE,
+                    f"service {part.service} of the split has weight 0",
+                )
+    if entry.latency_objective_ms > entry.timeout_ms:
+        yield (
+            Kind.CONTRADICTION,
+            f"timeout of {entry.timeout_ms} ms is below the latency"
+            f" objective of {entry.latency_objective_ms} ms",
+        )
+    if entry.attempts > MAX_ATTEMPTS:
+        yield (
+            Kind.CONTRADICTION,
+            f"{entry.attempts} attempts, and nodes make {MAX_ATTEMPTS} at most",
+        )
+
+
+@_faults_of.register
+def _(entry: Tenant) -> Iterable[tuple[Kind, str]]:
+    if not entry.keys:
+        yield Kind.UNREACHABLE, "has no key"
+    if entry.requests_per_s and not entry.burst:
+        yield Kind.CONTRADICTION, "has a rate and no burst"
+    if entry.burst and not entry.requests_per_s:
+        yield Kind.CONTRADICTION, "has a burst, and no rate that limits it"
+
+
+@_faults_of.register
+def _(entry: Limits) -> Iterable[tuple[Kind, str]]:
+    if entry.header_ms > entry.idle_ms:
+        yield (
+            Kind.CONTRADICTION,
+            f"a connection may take {entry.header_ms} ms for a head, and"
+            f" {entry.idle_ms} ms to begin it",
+        )
+
+
+@singledispatch
+def render_line(line) -> tuple[str, str, str]:
+    """Returns the columns of a line of a report."""
+    raise TypeError(f"not a line: {type(line).__name__}")
+
+
+@render_line.register
+def _(line: Finding) -> tuple[str, str, str]:
+    return line.kind.value, line.subject or "-", line.detail
+
+
+@render_line.register
+def _(line: Difference) -> tuple[str, str, str]:
+    return line.change.value, line.subject, line.detail or "-"
--- /dev/null
+++ b/tests/operate/test_check.py
@@ -0,0 +1,199 @@
+"""A check tells what a valid document lacks, and what it changes."""
+
+import dataclasses
+import json
+
+import pytest
+from click.testing import CliRunner
+
+from fulmarrudder.client import main
+from fulmarrudder.model import (
+    Arrangement,
+    Limits,
+    Route,
+    Service,
+    Tenant,
+    WeightedService,
+)
+from fulmarrudder.operate.check import (
+    Change,
+    Difference,
+    Kind,
+    check,
+    compare,
+)
+
+CAJA = Service(name="caja", target_versions=("1",), initial="1")
+PAY = Route(name="pay", host="a", prefix="/pay/", service="caja")
+ACME = Tenant(name="acme", keys=("k1",), requests_per_s=5.0, burst=5.0)
+SOUND = Arrangement(services=(CAJA,), routes=(PAY,), tenants=(ACME,))
+SPLIT = (
+    WeightedService(service="caja", weight=1),
+    WeightedService(service="quiet", weight=0),
+)
+
+
+def with_route(**fields):
+    return dataclasses.replace(
+        SOUND, routes=(dataclasses.replace(PAY, **fields),)
+    )
+
+
+def with_tenant(**fields):
+    return dataclasses.replace(
+        SOUND, tenants=(dataclasses.replace(ACME, **fields),)
+    )
+
+
+def with_service(**fields):
+    return dataclasses.replace(
+        SOUND, services=(dataclasses.replace(CAJA, **fields),)
+    )
+
+
+def test_sound_arrangement_has_no_findings():
+    assert check(SOUND) == ()
+
+
+@pytest.mark.parametrize(
+    ("arrangement", "kind", "subject"),
+    [
+        (with_route(prefix="/a b/"), Kind.UNREACHABLE, "route pay"),
+        (with_route(prefix="/a/../b/"), Kind.UNREACHABLE, "route pay"),
+        (with_route(prefix="/a/%2E/"), Kind.UNREACHABLE, "route pay"),
+        (with_route(prefix="/a?b=1"), Kind.UNREACHABLE, "route pay"),
+        (with_route(host="a:80"), Kind.UNREACHABLE, "route pay"),
+        (with_route(split=SPLIT), Kind.UNREACHABLE, "route pay"),
+        (
+            with_route(latency_objective_ms=900, timeout_ms=800),
+            Kind.CONTRADICTION,
+            "route pay",
+        ),
+        (with_route(attempts=9), Kind.CONTRADICTION, "route pay"),
+        (with_tenant(keys=()), Kind.UNREACHABLE, "tenant acme"),
+        (with_tenant(burst=0.0), Kind.CONTRADICTION, "tenant acme"),
+        (with_tenant(requests_per_s=0.0), Kind.CONTRADICTION, "tenant acme"),
+        (with_service(cold_per_s=3.0), Kind.CONTRADICTION, "service caja"),
+        (
+            dataclasses.replace(SOUND, limits=Limits(idle_ms=1, header_ms=2)),
+            Kind.CONTRADICTION,
+            "limits",
+        ),
+        (
+            dataclasses.replace(SOUND, tenants=()),
+            Kind.UNREACHABLE,
+            "route pay",
+        ),
+        (
+            dataclasses.replace(
+                SOUND, services=(CAJA, dataclasses.replace(CAJA, name="old"))
+            ),
+            Kind.UNREACHABLE,
+            "service old",
+        ),
+        (
+            dataclasses.replace(
+                SOUND, routes=(PAY, dataclasses.replace(PAY, name="late"))
+            ),
+            Kind.UNREACHABLE,
+            "route late",
+        ),
+    ],
+)
+def test_each_fault_is_found_once_at_its_entry(arrangement, kind, subject):
+    (finding,) = check(arrangement)
+    assert (finding.kind, finding.subject) == (kind, subject)
+
+
+def test_routes_for_other_callers_may_share_a_prefix():
+    first = dataclasses.replace(PAY, callers=("x",))
+    second = dataclasses.replace(PAY, name="pay2", callers=("y",))
+    assert check(dataclasses.replace(SOUND, routes=(first, second))) == ()
+
+
+@pytest.mark.parametrize(
+    ("after", "differences"),
+    [
+        (SOUND, ()),
+        (
+            with_route(timeout_ms=5),
+            (
+                Difference(
+                    change=Change.CHANGED,
+                    subject="route pay",
+                    detail="timeout_ms: 10000 -> 5",
+                ),
+            ),
+        ),
+        (
+            with_tenant(keys=("k2", "k3")),
+            (
+                Difference(
+                    change=Change.CHANGED,
+                    subject="tenant acme",
+                    detail="keys: 2 added, 1 removed",
+                ),
+            ),
+        ),
+        (
+            dataclasses.replace(SOUND, routes=(), tenants=None),
+            (
+                Difference(change=Change.REMOVED, subject="route pay"),
+                Difference(change=Change.REMOVED, subject="tenant acme"),
+                Difference(change=Change.REMOVED, subject="tenants"),
+            ),
+        ),
+    ],
+)
+def test_differences_are_told_by_entry_without_keys(after, differences):
+    assert compare(SOUND, after) == differences
+
+
+DOCUMENT = {
+    "services": [{"name": "s", "target_versions": ["1"], "initial": "1"}],
+    "routes": [{"name": "r", "prefix": "/a/", "service": "s"}],
+}
+CHANGED = DOCUMENT | {
+    "routes": [{"name": "r", "prefix": "/b/", "service": "s"}]
+}
+DOUBTFUL = DOCUMENT | {
+    "routes": [{"name": "r", "prefix": "/a b/", "service": "s"}]
+}
+
+
+@pytest.mark.parametrize(
+    ("document", "options", "status", "text"),
+    [
+        (DOCUMENT, [], 0, "nothing is wrong"),
+        (DOUBTFUL, [], 1, "never matches  route r"),
+        ({"services": []}, [], 1, "error  -  routes: Field required"),
+        ("{", [], 1, "not JSON"),
+        (CHANGED, ["--against", "old.json"], 0, "prefix: /a/ -> /b/"),
+        (DOCUMENT, ["--against", "none.json"], 2, "none.json"),
+        (DOCUMENT, ["--platform"], 1, "version"),
+        (
+            DOCUMENT,
+            ["--platform", "--against", "current"],
+            1,
+            "version",
+        ),
+    ],
+)
+def test_command_tells_and_exits(
+    tmp_path, monkeypatch, document, options, status, text
+):
+    monkeypatch.chdir(tmp_path)
+    (tmp_path / "old.json").write_text(json.dumps(DOCUMENT))
+    data = document if isinstance(document, str) else json.dumps(document)
+    (tmp_path / "new.json").write_text(data)
+    done = CliRunner().invoke(main, ["check", "new.json", *options])
+    assert (done.exit_code, text in done.output) == (status, True), done.output
+
+
+def test_report_is_printed_as_json(tmp_path):
+    path = tmp_path / "new.json"
+    path.write_text(json.dumps(DOUBTFUL))
+    done = CliRunner().invoke(main, ["--json", "check", str(path)])
+    (finding,) = json.loads(done.output)["findings"]
+    assert finding["kind"] == "never matches"
+    assert finding["subject"] == "route r"
