--- a/src/fulmarrudder/call/claims.py
+++ b/src/fulmarrudder/call/claims.py
@@ -102,8 +102,8 @@
         if self.queue:
             self.flush_timer = self.clock.callLater(0, self._flush)
         texts = tuple(text for text, _ in batch)
-        # What a client of the log raises must not leave the batch waiting.
-        appending = maybeDeferred(self.log.append, self.stream, texts)
+        # What the client of the log raises must not leave the batch waiting.
+        appending = maybeDeferred(lambda: self.log.append(self.stream, texts))
         appending.addCallbacks(
             lambda first: self._appended(batch, first),
             lambda failure: self._failed(batch, failure),
