--- a/src/fulmarrudder/call/advice.py
+++ b/src/fulmarrudder/call/advice.py
@@ -7,7 +7,7 @@
 from fulmarrudder.call.header_names import HeaderNames
 from fulmarrudder.call.host_report import HostReport
 from fulmarrudder.call.message import ResponseHead
-from fulmarrudder.call.slots import Slots
+from fulmarrudder.call.target_limits import LimitSource, TargetLimits
 from fulmarrudder.membership import Announcement, LocalTarget
 from fulmarrudder.observe import logs
 
@@ -77,13 +77,13 @@
         *,
         header_names: HeaderNames,
         local_target: LocalTarget,
-        slots: Slots,
+        limits: TargetLimits,
         report: HostReport,
         on_leaving: Callable[[], object],
     ):
         self.header_names = header_names
         self.local_target = local_target
-        self.slots = slots
+        self.limits = limits
         self.report = report
         self.on_leaving = on_leaving
         self.latest = NO_ADVICE
@@ -117,9 +117,4 @@
         if per_s == self.latest.requests_per_s:
             return
         self.report.target_limited(per_s, self.latest.requests_per_s)
-        admitted_per_s = LIMIT_TOLERANCE * per_s
-        self.slots.limit_rate(admitted_per_s)
-        # By Little's law: others then send here what fits.
-        self.local_target.slot_limit = max(
-            1.0, admitted_per_s * self.slots.service_time_s
-        )
+        self.limits.set(LimitSource.ADVISED, LIMIT_TOLERANCE * per_s)
--- /dev/null
+++ b/src/fulmarrudder/call/cold.py
@@ -0,0 +1,85 @@
+"""Limits the requests of a local target that is cold.
+
+Only the node beside a target sends to it, so it keeps the limit alone.
+"""
+
+import math
+from collections.abc import Iterable
+
+from fulmarrudder.call.target_limits import LimitSource, TargetLimits
+from fulmarrudder.clock import Clock
+from fulmarrudder.membership import LocalTarget
+from fulmarrudder.model import Service
+from fulmarrudder.observe import logs
+
+
+class ColdLimit:
+    """Limits the requests a second while the local target is cold.
+
+    Attributes:
+        services: Services that name a limit, by name: requests a second that
+            a cold target of theirs takes.
+        per_s: The limit in force; infinite while the target is warm.
+        timer: Lifts the limit once the target is warm, or None.
+    """
+
+    def __init__(
+        self, *, clock: Clock, local_target: LocalTarget, limits: TargetLimits
+    ):
+        self.clock = clock
+        self.local_target = local_target
+        self.limits = limits
+        self.services: dict[str, float] = {}
+        self.per_s = math.inf
+        self.timer = None
+
+    @property
+    def is_limiting(self) -> bool:
+        """Whether the target is cold and its service names a limit."""
+        return not math.isinf(self.per_s)
+
+    def set_services(self, services: Iterable[Service]) -> None:
+        """Takes the limits of a configuration version.
+
+        Args:
+            services: All its services.
+        """
+        self.services = {s.name: s.cold_per_s for s in services if s.cold_per_s}
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Limits the target or lifts the limit, by what is known now."""
+        if self.timer is not None and self.timer.active():
+            self.timer.cancel()
+        self.timer = None
+        per_s = self._limit_now()
+        if per_s != self.per_s:
+            self._apply(per_s)
+        latest = self.local_target.latest
+        if not self.is_limiting or self.local_target.presumed_cold:
+            return
+        left_s = latest.cold_until - self.clock.seconds()
+        self.timer = self.clock.callLater(max(0.0, left_s), self.refresh)
+
+    def _limit_now(self) -> float:
+        latest = self.local_target.latest
+        if latest is None or not self.local_target.is_cold:
+            return math.inf
+        return self.services.get(latest.service, math.inf)
+
+    def _apply(self, per_s: float) -> None:
+        self.per_s = per_s
+        self.limits.set(LimitSource.COLD, per_s)
+        latest = self.local_target.latest
+        if not self.is_limiting:
+            logs.info("target-warm", target=latest.id if latest else None)
+            return
+        presumed = self.local_target.presumed_cold
+        left_s = max(0.0, latest.cold_until - self.clock.seconds())
+        logs.info(
+            "target-cold",
+            target=latest.id,
+            per_s=per_s,
+            presumed=presumed,
+            left_ms=None if presumed else int(left_s * 1000),
+        )
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -28,6 +28,7 @@
     Acquired,
     Claims,
 )
+from fulmarrudder.call.cold import ColdLimit
 from fulmarrudder.call.ending import (
     FIRST_FAILURE_STATUS,
     with_earlier_attempts,
@@ -57,12 +58,13 @@
     ResponseHead,
 )
 from fulmarrudder.call.poison import STRIKE_TTL_S, refuse_poison_request
-from fulmarrudder.call.refusals import broken, late, not_run
+from fulmarrudder.call.refusals import EVACUATED, broken, late, not_run
 from fulmarrudder.call.retry import RetryBudgets
 from fulmarrudder.call.sanitizer import sanitize_response
 from fulmarrudder.call.settle import answer_for_claim, settlement
 from fulmarrudder.call.slots import SlotRequest, Slots
 from fulmarrudder.call.tally import Tallies
+from fulmarrudder.call.target_limits import TargetLimits
 from fulmarrudder.call.upstream import Connection, ConnectionPool
 from fulmarrudder.call.warmup import WarmupTracker
 from fulmarrudder.clock import wall_seconds
@@ -139,6 +141,8 @@
         retry_budgets: Retry budgets of this node.
         intake: Limits the bodies that other nodes send at once.
         advice: Applies what the target tells of itself in its answers.
+        cold: Limits the requests of a target that is cold.
+        data_centre: Data centre of the node.
     """
 
     def __init__(
@@ -155,7 +159,9 @@
         events: EventLog | None = None,
         link_bytes_per_s: float = math.inf,
         on_target_leaving: Callable[[], None] | None = None,
+        data_centre: str = "",
     ):
+        self.data_centre = data_centre
         self.header_names = header_names
         self.clock = clock
         self.pool = pool
@@ -178,10 +184,14 @@
             slots=self.slots,
             header_names=header_names,
         )
+        limits = TargetLimits(local_target, self.slots)
+        self.cold = ColdLimit(
+            clock=clock, local_target=local_target, limits=limits
+        )
         self.advice = AdviceTracker(
             header_names=header_names,
             local_target=local_target,
-            slots=self.slots,
+            limits=limits,
             report=self.report,
             on_leaving=on_target_leaving or local_target.leave,
         )
@@ -197,6 +207,23 @@
         if latest is not None:
             self.slots.resize(min(latest.slots, latest.connections))
             self.advice.announced(latest)
+            self.cold.refresh()
+
+    @property
+    def is_evacuated(self) -> bool:
+        """Whether the local target must get no requests."""
+        return self.data_centre in self.facts.evacuated
+
+    def apply_evacuation(self) -> None:
+        """Applies that the node's data centre is evacuated, or is no longer.
+
+        The target may have become cold meanwhile.
+        """
+        if self.is_evacuated:
+            self.slots.refuse_waiting(EVACUATED.detail)
+            return
+        self.local_target.presumed_cold = True
+        self.cold.refresh()
 
     async def serve(
         self, request: HostRequest, body: RequestBody, send_continue
@@ -229,7 +256,10 @@
         try:
             await granted
         except SlotError as error:
-            return _refusal_to_node(self._overload_refusal(request, str(error)))
+            refusal = self._overload_refusal(request, str(error))
+            if self.is_evacuated:
+                refusal = EVACUATED
+            return _refusal_to_node(refusal)
         self.report.time_in_queue.add(
             request.route, self.clock.seconds() - asked_at
         )
@@ -266,6 +296,8 @@
         condition = self.local_target.condition
         if self.leaving or condition is Condition.LEAVING:
             return not_run(RefusalReason.LEAVING, "target is leaving")
+        if self.is_evacuated:
+            return EVACUATED
         if latest is None or condition is not Condition.READY:
             return not_run(RefusalReason.NO_TARGET, "no target beside node")
         requested = (request.service, request.target_version)
--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -156,6 +156,7 @@
     KEY_PENDING = "idempotency-key-pending"
     ALREADY_RAN = "already-ran"
     STOPPED = "stopped"
+    EVACUATED = "evacuated"
     UNKNOWN_KEY = "unknown-key"
     UNCONFIRMED = "configuration-not-confirmed"
 
--- a/src/fulmarrudder/call/refusals.py
+++ b/src/fulmarrudder/call/refusals.py
@@ -10,6 +10,14 @@
 )
 
 
+EVACUATED = Refusal(
+    status=503,
+    reason=RefusalReason.EVACUATED,
+    ran=Ran.NO,
+    detail="the data centre of the target is evacuated",
+)
+
+
 def malformed(detail: str, status: int = 400) -> Refusal:
     """Returns the refusal of a malformed request."""
     return Refusal(
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -153,6 +153,15 @@
         """Returns the average service time of a route, in seconds."""
         return self.service_time_by_route.get(route, self.service_time_s)
 
+    def refuse_waiting(self, detail: str) -> None:
+        """Refuses all requests that wait for a slot."""
+        waiters = [entry[-1] for entry in self.heap if entry[-1].is_waiting]
+        self.heap.clear()
+        for waiter in waiters:
+            self._dequeue(waiter)
+        for waiter in waiters:
+            waiter.granted.errback(SlotError(detail))
+
     def retry_after(self) -> float:
         """Returns the seconds after which a slot is expected to be free."""
         rate_wait_s = self.rate.wait_s(self.clock.seconds(), self.queued)
--- a/src/fulmarrudder/distribution/codec.py
+++ b/src/fulmarrudder/distribution/codec.py
@@ -25,6 +25,7 @@
     Brake,
     ConfigStatus,
     ConfigSummary,
+    Evacuation,
     Evidence,
     MoveProgress,
     Presence,
@@ -53,6 +54,7 @@
     evidence=Evidence,
     summary=ConfigSummary,
     course=MoveProgress,
+    evacuation=Evacuation,
 )
 FACT_BATCH_KIND = "spread"
 
--- a/src/fulmarrudder/distribution/fact_router.py
+++ b/src/fulmarrudder/distribution/fact_router.py
@@ -22,6 +22,7 @@
     Condition,
     ConfigStatus,
     ConfigSummary,
+    Evacuation,
     Evidence,
     Fact,
     MoveProgress,
@@ -294,6 +295,12 @@
     return _all_links(router)
 
 
+@_destinations.register
+def _(fact: Evacuation, router: FactRouter, origin: Origin) -> list[Link]:
+    # Only operators of fleets without relays evacuate data centres.
+    return []
+
+
 def _all_links(router: FactRouter) -> list[Link]:
     links = list(router.children.by_link)
     links += router.parent_links()
--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -570,6 +570,7 @@
                 source is not None and source.data_centre != self.data_centre
             ),
             leads_afar=link.data_centre != self.data_centre,
+            protocol=link.protocol,
         )
 
     def _offer_of(self, hello: Hello, link: Link) -> Offer:
--- a/src/fulmarrudder/distribution/outbox.py
+++ b/src/fulmarrudder/distribution/outbox.py
@@ -9,6 +9,7 @@
 from fulmarrudder.distribution.message import FactBatch
 from fulmarrudder.model import (
     Brake,
+    Evacuation,
     Fact,
     MoveProgress,
     Presence,
@@ -19,7 +20,7 @@
 # Delay of facts that are not urgent, so that one message carries several.
 FLUSH_DELAY_S = 0.05
 MAX_FACTS_PER_MESSAGE = 200
-URGENT_KINDS = (Brake, Strike, MoveProgress, Presence)
+URGENT_KINDS = (Brake, Strike, MoveProgress, Presence, Evacuation)
 
 
 class Outbox:
--- a/src/fulmarrudder/distribution/spread.py
+++ b/src/fulmarrudder/distribution/spread.py
@@ -11,7 +11,8 @@
 from functools import singledispatch
 
 from fulmarrudder.distribution.evidence import node_of_source
-from fulmarrudder.model import Evidence, Fact, Presence
+from fulmarrudder.distribution.message import EVACUATION_PROTOCOL
+from fulmarrudder.model import Evacuation, Evidence, Fact, Presence
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -25,6 +26,7 @@
         to_reader: Whether the receiving node reads evidence.
         came_from_afar: Whether another data centre sent the fact.
         leads_afar: Whether the link leads to another data centre.
+        protocol: Messages that the receiving node understands.
     """
 
     is_own: bool
@@ -33,6 +35,7 @@
     to_reader: bool
     came_from_afar: bool = False
     leads_afar: bool = False
+    protocol: int = 0
 
     @property
     def passes_on(self) -> bool:
@@ -58,6 +61,12 @@
     return hop.came_from_afar and hop.to_reader and not hop.to_gateway
 
 
+@is_forwarded.register
+def _(fact: Evacuation, hop: Hop) -> bool:
+    # Other nodes of the data centre are told of the record as well.
+    return hop.passes_on and hop.protocol >= EVACUATION_PROTOCOL
+
+
 @singledispatch
 def is_sent_on_open(fact: Fact, hop: Hop) -> bool:
     """Returns whether a known fact is sent on a link that has opened."""
@@ -74,6 +83,11 @@
     return hop.is_own and (hop.to_reader or hop.to_gateway)
 
 
+@is_sent_on_open.register
+def _(fact: Evacuation, hop: Hop) -> bool:
+    return hop.passes_on and hop.protocol >= EVACUATION_PROTOCOL
+
+
 @singledispatch
 def origin_of(fact: Fact) -> str:
     """Returns the id of the node that a fact describes, or empty."""
--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -53,6 +53,8 @@
         slots: Requests that the target serves at once.
         connections: Connections that the target accepts at once.
         id: Id of this incarnation of the target, or empty.
+        cold_until: Clock seconds until which the target is cold, and takes few
+            requests; 0 when it is not.
     """
 
     service: str
@@ -64,6 +66,7 @@
     slots: int
     connections: int
     id: str = ""
+    cold_until: float = 0.0
 
 
 def parse_announcement(data: bytes) -> Result[Announcement, AnnouncementError]:
@@ -97,6 +100,8 @@
         unconfirmed_until: Clock seconds until which a ready target counts as
             absent: it may have left beside an earlier start of the node.
         slot_limit: Slots that the node offers to others at most.
+        presumed_cold: Whether the target counts as cold until it announces
+            otherwise.
     """
 
     def __init__(
@@ -113,6 +118,7 @@
         self.departed: DepartedTarget | None = None
         self.unconfirmed_until = 0.0
         self.slot_limit = math.inf
+        self.presumed_cold = False
 
     @property
     def offered_slots(self) -> int:
@@ -162,10 +168,18 @@
         if stored is not None and _recency(announcement) <= _recency(stored):
             return False
         self.latest = announcement
+        self.presumed_cold = False
         self.unreachable = False
         self.deadline = self.clock.seconds() + self.announcement_timeout_s
         return True
 
+    @property
+    def is_cold(self) -> bool:
+        """Whether the target takes few requests, as far as is known."""
+        if self.latest is None or self.presumed_cold:
+            return True
+        return self.clock.seconds() < self.latest.cold_until
+
     def mark_unreachable(self) -> None:
         """Records that nothing listens at the target's address."""
         if not self.unreachable:
--- a/src/fulmarrudder/membership/store.py
+++ b/src/fulmarrudder/membership/store.py
@@ -7,6 +7,7 @@
 from fulmarrudder.model import (
     Brake,
     Condition,
+    Evacuation,
     Fact,
     FactKey,
     Presence,
@@ -32,6 +33,7 @@
             node is removed, by key.
         digest: Digest of the facts that all nodes hold.
         departures: Targets that have told that they leave.
+        evacuated: Data centres whose targets must get no requests.
     """
 
     def __init__(self):
@@ -43,6 +45,7 @@
         self.tombstone_deadlines: dict[FactKey, float] = {}
         self.digest = Digest()
         self.departures = Departures()
+        self.evacuated: frozenset[str] = frozenset()
 
     def merge(self, fact: Fact, now: float) -> bool:
         """Stores a fact if it has precedence over the stored one.
@@ -95,14 +98,31 @@
             self.endpoint_cache.pop(fact.service, None)
 
     def endpoints_of(self, service: str) -> tuple[Presence, ...]:
-        """Returns the presences of a service, sorted by node id."""
+        """Returns the presences of a service that may get requests.
+
+        Those in evacuated data centres are left out; sorted by node id.
+        """
         endpoints = self.endpoint_cache.get(service)
         if endpoints is None:
-            found = self.presences_by_service.get(service, {}).values()
+            found = (
+                presence
+                for presence in self.presences_by_service.get(
+                    service, {}
+                ).values()
+                if presence.data_centre not in self.evacuated
+            )
             endpoints = tuple(sorted(found, key=lambda p: p.node))
             self.endpoint_cache[service] = endpoints
         return endpoints
 
+    def index_evacuation(self, fact: Evacuation) -> None:
+        """Updates the indexes for an evacuation."""
+        others = self.evacuated - {fact.data_centre}
+        self.evacuated = others | (
+            {fact.data_centre} if fact.in_force else frozenset()
+        )
+        self.endpoint_cache.clear()
+
     def presence_of(self, node: str) -> Presence | None:
         """Returns the presence of a node, or None."""
         return self.facts.get(FactKey(kind="presence", name=node))
@@ -207,6 +227,11 @@
     expiries[fact.crash_id] = fact.expires
 
 
+@_index.register
+def _(fact: Evacuation, store: FactStore, previous, now: float) -> None:
+    store.index_evacuation(fact)
+
+
 @singledispatch
 def _unindex(fact: Fact, store: FactStore) -> None:
     """Removes a fact from the indexes of a store."""
--- a/src/fulmarrudder/model/fact.py
+++ b/src/fulmarrudder/model/fact.py
@@ -191,6 +191,21 @@
     reason: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Evacuation:
+    """Whether the targets of a data centre must get no requests.
+
+    Attributes:
+        data_centre: The data centre, which need not be known.
+        offset: Offset of the operator's record.
+        in_force: False once the operator has taken it back.
+    """
+
+    data_centre: str
+    offset: int
+    in_force: bool
+
+
 Fact = (
     Presence
     | Brake
@@ -199,6 +214,7 @@
     | Evidence
     | ConfigSummary
     | MoveProgress
+    | Evacuation
 )
 
 
@@ -251,6 +267,11 @@
     return FactKey(kind="course", name=fact.move)
 
 
+@key_of.register
+def _(fact: Evacuation) -> FactKey:
+    return FactKey(kind="evacuation", name=fact.data_centre)
+
+
 @singledispatch
 def precedence_of(fact: Fact) -> tuple[int, ...]:
     """Returns the precedence of a fact among facts with the same key."""
@@ -284,3 +305,8 @@
     # of the duty may not have heard of it.
     closed = int(fact.phase in CLOSED_PHASES)
     return (closed, fact.term, fact.step)
+
+
+@precedence_of.register
+def _(fact: Evacuation) -> tuple[int, ...]:
+    return (fact.offset, int(not fact.in_force))
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -37,6 +37,7 @@
 from fulmarrudder.model import (
     Arrangement,
     Condition,
+    Evacuation,
     Evidence,
     Fact,
     MoveProgress,
@@ -50,6 +51,7 @@
     MoveResult,
     RecordedMove,
 )
+from fulmarrudder.node.evacuation import Evacuations
 from fulmarrudder.node.gauges import call_gauges
 from fulmarrudder.node.move_executor import ControllerLease, MoveExecutor
 from fulmarrudder.node.presence import PresenceBroadcaster
@@ -126,6 +128,7 @@
         entry: Pipeline of requests from callers.
         host: Pipeline of requests to the local target.
         identifier: Finds the tenants of requests.
+        evacuations: Applies evacuations of data centres.
         gossip: Links to other nodes.
         render_document: Puts the active configuration together as a document;
             None before the first one.
@@ -154,6 +157,7 @@
         on_change: Callable[[ConfigChange], None] = ignore,
         record_departure: Callable[[DepartedTarget], Deferred] = _keep_nowhere,
         is_first_start: bool = True,
+        on_evacuation: Callable[[Evacuation], None] = ignore,
     ):
         """Builds a node.
 
@@ -182,6 +186,7 @@
                 once a restart of all nodes doesn't lose it, or once that has
                 taken too long.
             is_first_start: Whether no departure was recorded before.
+            on_evacuation: Called with each evacuation, and with its end.
         """
         self.settings = settings
         self.clock = reactor
@@ -263,6 +268,13 @@
             events=self.events,
             link_bytes_per_s=settings.link_bytes_per_s,
             on_target_leaving=self.target_leaves,
+            data_centre=settings.data_centre,
+        )
+        self.evacuations = Evacuations(
+            facts=self.facts,
+            host=self.host,
+            broadcast=self.gossip.broadcast,
+            on_told=on_evacuation,
         )
         self.entry = EntryPipeline(
             clock=reactor,
@@ -408,6 +420,7 @@
         )
         self.identifier.keys = keys
         self.calls.limits = arrangement.limits
+        self.host.cold.set_services(arrangement.services)
         now = self.clock.seconds()
         logs.info(
             "in-force",
@@ -627,6 +640,8 @@
             "fulmarrudder_strikes": len(self.facts.strikes),
             "fulmarrudder_duties_held": int(self.lease.holds_lease()),
             "fulmarrudder_links": len(self.gossip.links),
+            "fulmarrudder_evacuations": len(self.facts.evacuated),
+            "fulmarrudder_target_cold": int(self.host.cold.is_limiting),
             "fulmarrudder_endpoints": sum(
                 len(nodes) for nodes in self.facts.presences_by_service.values()
             ),
@@ -668,6 +683,8 @@
             self.monitor.add_evidence(fact)
         if isinstance(fact, MoveProgress):
             self._sync_moves()
+        if isinstance(fact, Evacuation):
+            self.evacuations.apply(fact)
         if not isinstance(fact, Presence):
             return
         self._log_presence(fact)
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -36,6 +36,7 @@
 from fulmarrudder.platform.lease import GroupLease
 from fulmarrudder.platform.operator_records import (
     CONFIG_KEY,
+    EVACUATION_PREFIX,
     OPERATOR_TOPIC,
     OperatorRecords,
 )
@@ -136,6 +137,9 @@
             on_change=self.operator_records.apply_change,
             record_departure=self.departures.record,
             is_first_start=settings.first_start,
+            on_evacuation=lambda fact: self.tail.learn(
+                f"{EVACUATION_PREFIX}{fact.data_centre}", fact.offset
+            ),
         )
         self.supervisor = self.node.supervisor
         self.store = StoreClient(
--- a/src/fulmarrudder/platform/heartbeats.py
+++ b/src/fulmarrudder/platform/heartbeats.py
@@ -35,8 +35,7 @@
 class _Status(PlatformModel):
     state: Literal["ready", "draining"]
     sequence: Count
-    # Remaining warm-up time.
-    warmup_left: Milliseconds = pydantic.Field(0.0, alias="coldLeft")
+    cold_left_ms: Milliseconds = pydantic.Field(0.0, alias="coldLeft")
 
 
 class _Heartbeat(PlatformModel):
@@ -48,13 +47,14 @@
 
 
 def parse_heartbeat(
-    target: str, data: bytes
+    target: str, data: bytes, *, now: float = 0.0
 ) -> Result[Announcement, DocumentError]:
     """Parses and validates a heartbeat.
 
     Args:
         target: Id of the target, from the path.
         data: JSON.
+        now: Clock seconds at which it arrived.
 
     Returns:
         The announcement, or every validation error. The incarnation is 0 when
@@ -75,5 +75,12 @@
             condition=CONDITION_BY_STATE[model.status.state],
             slots=model.info.slots,
             connections=CONNECTION_LIMIT,
+            cold_until=_cold_until(model.status, now),
         )
     )
+
+
+def _cold_until(status: _Status, now: float) -> float:
+    if not status.cold_left_ms:
+        return 0.0
+    return now + status.cold_left_ms / 1000
--- a/src/fulmarrudder/platform/http.py
+++ b/src/fulmarrudder/platform/http.py
@@ -65,7 +65,11 @@
         target = match[1].decode("latin-1")
         if match[2] == b"deregister":
             return self._deregister(target)
-        parsed = parse_heartbeat(target, request.content.read(MAX_BODY_BYTES))
+        parsed = parse_heartbeat(
+            target,
+            request.content.read(MAX_BODY_BYTES),
+            now=self.node.clock.seconds(),
+        )
         if parsed.is_error():
             logs.warning(
                 "heartbeat-refused", target=target, detail=parsed.error
--- a/src/fulmarrudder/platform/operator_records.py
+++ b/src/fulmarrudder/platform/operator_records.py
@@ -27,6 +27,7 @@
 STATUS_TOPIC = "keyed.status"
 CONFIG_KEY = "config"
 ROLLOUT_PREFIX = "rollout/"
+EVACUATION_PREFIX = "evacuate/"
 # Withdrawn versions of a service that its status tells; targets of older ones
 # have long ended.
 MAX_WITHDRAWN = 20
@@ -55,11 +56,18 @@
         )
 
     def apply_record(self, record: KeyedRecord) -> None:
-        """Applies a configuration or a rollout; ignores other records."""
+        """Applies one of the operator's records; ignores other ones."""
         if record.key == CONFIG_KEY:
             self._apply_config_record(record)
         elif record.key.startswith(ROLLOUT_PREFIX):
             self._apply_rollout(record, record.key.removeprefix(ROLLOUT_PREFIX))
+        elif record.key.startswith(EVACUATION_PREFIX):
+            # Whatever it contains: the record itself is the request.
+            self.node.evacuations.request(
+                record.key.removeprefix(EVACUATION_PREFIX),
+                record.offset,
+                in_force=bool(record.value),
+            )
 
     def _apply_config_record(self, record: KeyedRecord) -> None:
         if record.value is None:
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -176,6 +176,13 @@
         self.on_record(record)
         return True
 
+    def learn(self, key: str, offset: int) -> None:
+        """Handles that a key's record, up to an offset, is known from others.
+
+        The read of the latest records then notices that it was deleted.
+        """
+        self.offsets[key] = max(offset, self.offsets.get(key, -1))
+
     def follow(self, end: int) -> None:
         """Handles that all records before an offset are known from others."""
         self.next_offset = max(self.next_offset, end)
