--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -156,9 +156,9 @@
     KEY_PENDING = "idempotency-key-pending"
     ALREADY_RAN = "already-ran"
     STOPPED = "stopped"
-    EVACUATED = "evacuated"
     UNKNOWN_KEY = "unknown-key"
     UNCONFIRMED = "configuration-not-confirmed"
+    EVACUATED = "evacuated"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/fulmarrudder/observe/metrics.py
+++ b/src/fulmarrudder/observe/metrics.py
@@ -95,6 +95,12 @@
     "fulmarrudder_in_flight": _Family(Gauge, "Calls under way, by role."),
     "fulmarrudder_endpoints": _Family(Gauge, "Endpoints known."),
     "fulmarrudder_links": _Family(Gauge, "Links to other nodes."),
+    "fulmarrudder_evacuations": _Family(
+        Gauge, "Data centres that are evacuated."
+    ),
+    "fulmarrudder_target_cold": _Family(
+        Gauge, "1 while the local target is cold and its requests are limited."
+    ),
     "fulmarrudder_slots_taken": _Family(
         Gauge, "Requests that the target beside this node runs."
     ),
--- a/tests/call/test_host.py
+++ b/tests/call/test_host.py
@@ -23,7 +23,7 @@
 )
 from fulmarrudder.call.write_buffer import WriteBuffer
 from fulmarrudder.membership import Announcement, FactStore, LocalTarget
-from fulmarrudder.model import Condition, Strike
+from fulmarrudder.model import Condition, Evacuation, Strike
 from tests.call.fakes import FakeLog, FakeSource
 
 
@@ -302,6 +302,28 @@
     assert harness.host.slots.queued == 0
 
 
+# A request that waits in a data centre being emptied would be run there later.
+def test_waiting_requests_are_refused_and_running_ones_end_when_evacuated(
+    harness,
+):
+    running = [harness.send_request()[1] for _ in range(2)]
+    waiting = [harness.send_request()[1] for _ in range(3)]
+    harness.host.data_centre = "lima-1"
+    harness.facts.merge(
+        Evacuation(data_centre="lima-1", offset=5, in_force=True), 0.0
+    )
+    harness.host.apply_evacuation()
+    _, later = harness.send_request()
+    for found in (*waiting, later):
+        refusal = refusal_in(found)
+        assert (refusal.ran.value, refusal.reason.value) == ("no", "evacuated")
+    for index in range(2):
+        harness.answer(index)
+        assert running[index][0].head.status == 200
+    assert len(harness.pool.made) == 2
+    assert harness.host.slots.queued == 0
+
+
 def test_crashed_target_is_absent_before_its_announcements_time_out(harness):
     """Crashed targets were chosen until their announcements timed out."""
     harness.send_request()
--- a/tests/platform/test_heartbeats.py
+++ b/tests/platform/test_heartbeats.py
@@ -43,6 +43,17 @@
     assert announcement.condition is Condition.LEAVING
 
 
+@pytest.mark.parametrize(
+    ("cold_left", "cold_until"),
+    [("0ms", 0.0), ("1600ms", 101.6), ("2.5s", 102.5)],
+)
+def test_cold_target_tells_how_long_it_stays_cold(cold_left, cold_until):
+    status = {**HEARTBEAT["status"], "coldLeft": cold_left}
+    data = json.dumps({**HEARTBEAT, "status": status}).encode()
+    announcement = parse_heartbeat("i-1", data, now=100.0).ok
+    assert announcement.cold_until == cold_until
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -369,3 +369,13 @@
     assert (deleted.key, deleted.value) == ("rollout/caja", None)
     scene.serve(record(10, "rollout/caja"), next_offset=11)
     assert scene.passed[-1].value == b"{}"
+
+
+# A neighbour told of the record, and it was deleted before this node read.
+def test_deletion_of_a_key_that_others_told_of_is_noticed(scene):
+    scene.tail.learn("evacuate/lima-2", 7)
+    latest = RecordBatch(records=(record(8),), next_offset=10, is_latest=True)
+    scene.store.waiting.pop(0).callback(latest)
+    deleted = scene.passed[-1]
+    assert (deleted.key, deleted.value) == ("evacuate/lima-2", None)
+    assert deleted.offset == 9
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -30,6 +30,7 @@
     ConfigSummary,
     Decision,
     EndMove,
+    Evacuation,
     Evidence,
     Limits,
     MoveProgress,
@@ -291,6 +292,9 @@
             SourceRecord(key="rollout/caja", value=None, offset=7),
         ),
     ),
+    FactBatch(
+        facts=(Evacuation(data_centre="lima-1", offset=17, in_force=True),)
+    ),
 )
 ANSWERS = (
     Status(
