--- a/tests/platform/test_operator_records.py
+++ b/tests/platform/test_operator_records.py
@@ -2,13 +2,14 @@
 
 from twisted.internet.defer import ensureDeferred
 
-from fulmarrudder.model import Condition, Presence
+from fulmarrudder.model import Condition, Evacuation, Presence
 from fulmarrudder.platform.operator_records import OperatorRecords
 from fulmarrudder.platform.rollout import encode_status
 from fulmarrudder.platform.store import KeyedRecord, RecordBatch
 from fulmarrudder.state_machine import Phase
 from tests.call.fakes import result_of
 from tests.platform.test_http import new_node
+from tests.platform.test_task_faults import new_daemon
 
 ROLLOUT = b'{"service":"caja","targetVersion":"v2","duration":"20s"}'
 
@@ -16,11 +17,16 @@
 class FakeStore:
     """A store that holds the recorded status of the move."""
 
-    def __init__(self, *records):
-        self.records = records
+    def __init__(self, *records, next_offset=1, is_latest=False):
+        self.batch = RecordBatch(
+            records=records, next_offset=next_offset, is_latest=is_latest
+        )
 
     async def read_latest(self, topic):
-        return RecordBatch(records=self.records, next_offset=1)
+        return self.batch
+
+    async def read(self, topic, start, wait_s):
+        return RecordBatch(records=(), next_offset=start)
 
 
 def node_with_rollout(*statuses):
@@ -64,3 +70,17 @@
     assert not node.is_controller_candidate()
     result_of(ensureDeferred(records.load_move_results()))
     assert node.is_controller_candidate()
+
+
+# The record was deleted before this node, which its neighbours had told of it, read
+# anything: its data centre got nothing for the rest of the day.
+def test_deletion_of_an_evacuation_that_neighbours_told_of_is_noticed(tmp_path):
+    daemon = new_daemon(tmp_path)
+    daemon.node.gossip.broadcast(
+        Evacuation(data_centre="lima-2", offset=7, in_force=True)
+    )
+    assert daemon.node.facts.evacuated == {"lima-2"}
+    daemon.tail.store = FakeStore(next_offset=9, is_latest=True)
+    daemon.tail.on_answer = lambda start, batch: None
+    result_of(ensureDeferred(daemon.tail.catch_up()))
+    assert not daemon.node.facts.evacuated
