--- a/src/fulmarrudder/call/cold.py
+++ b/src/fulmarrudder/call/cold.py
@@ -19,6 +19,8 @@
     Attributes:
         services: Services that name a limit, by name: requests a second that
             a cold target of theirs takes.
+        excess: Requests that a cold target may get for each that its service
+            names.
         per_s: The limit in force; infinite while the target is warm.
         timer: Lifts the limit once the target is warm, or None.
     """
@@ -30,6 +32,7 @@
         self.local_target = local_target
         self.limits = limits
         self.services: dict[str, float] = {}
+        self.excess = 1.0
         self.per_s = math.inf
         self.timer = None
 
@@ -47,6 +50,11 @@
         self.services = {s.name: s.cold_per_s for s in services if s.cold_per_s}
         self.refresh()
 
+    def set_excess(self, excess: float) -> None:
+        """Replaces the requests a cold target may get for each that is named."""
+        self.excess = excess
+        self.refresh()
+
     def refresh(self) -> None:
         """Limits the target or lifts the limit, by what is known now."""
         if self.timer is not None and self.timer.active():
@@ -65,7 +73,7 @@
         latest = self.local_target.latest
         if latest is None or not self.local_target.is_cold:
             return math.inf
-        return self.services.get(latest.service, math.inf)
+        return self.excess * self.services.get(latest.service, math.inf)
 
     def _apply(self, per_s: float) -> None:
         self.per_s = per_s
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -93,6 +93,8 @@
         retry_slack: Retries that the fleet may make beyond that ratio.
         link_bytes_per_s: Speed of the instance's network link.
         credentials: What is demanded of a node that may be behind.
+        cold_excess: Requests that a cold target may get for each that its
+            service names.
     """
 
     node: str
@@ -104,6 +106,7 @@
     retry_slack: float
     link_bytes_per_s: float = math.inf
     credentials: Credentials = Credentials()
+    cold_excess: float = 1.0
 
 
 def _keep_nowhere(departed: DepartedTarget) -> Deferred:
@@ -270,6 +273,7 @@
             on_target_leaving=self.target_leaves,
             data_centre=settings.data_centre,
         )
+        self.host.cold.set_excess(settings.cold_excess)
         self.evacuations = Evacuations(
             facts=self.facts,
             host=self.host,
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -306,6 +306,7 @@
         self.settings = settings
         self.node.settings = _node_settings_of(settings)
         self.node.identifier.credentials = self.node.settings.credentials
+        self.node.host.cold.set_excess(settings.cold_excess)
         logs.setup(settings.log_level, node=settings.node)
         logs.info("reloaded", service=settings.service)
 
@@ -386,6 +387,7 @@
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
         link_bytes_per_s=settings.link_bytes_per_s,
+        cold_excess=settings.cold_excess,
         credentials=Credentials(
             fail_closed=settings.fail_closed, unconfirmed_s=settings.revoke_s
         ),
--- a/src/fulmarrudder/platform/settings.py
+++ b/src/fulmarrudder/platform/settings.py
@@ -40,6 +40,7 @@
     retry_slack: float = pydantic.Field(50.0, alias="budgetSlack")
     fail_closed: bool = pydantic.Field(False, alias="revokeFailClosed")
     revoke: Milliseconds = 5_000.0
+    cold_excess: float = pydantic.Field(1.0, alias="coldExcess", gt=0)
 
 
 class _Limits(PlatformModel):
@@ -98,6 +99,8 @@
         fail_closed: Whether requests that need a key are refused while the
             configuration is not confirmed.
         revoke_s: Seconds without a confirmation after which that is so.
+        cold_excess: Requests that a cold target may get for each that its
+            service names.
     """
 
     node: str
@@ -121,6 +124,7 @@
     first_start: bool = True
     fail_closed: bool = False
     revoke_s: float = 5.0
+    cold_excess: float = 1.0
 
 
 def parse_machine_settings(text: str) -> Result[MachineSettings, SettingsError]:
@@ -162,6 +166,7 @@
             first_start=model.bootstrap,
             fail_closed=model.bounds.fail_closed,
             revoke_s=model.bounds.revoke / 1000,
+            cold_excess=model.bounds.cold_excess,
         )
     )
 
--- a/tests/call/test_cold.py
+++ b/tests/call/test_cold.py
@@ -165,6 +165,17 @@
     assert not scene.host.cold.is_limiting
 
 
+@pytest.mark.parametrize("excess", [1.0, 1.5])
+def test_limit_grows_by_the_excess_that_is_allowed(excess):
+    scene = Scene()
+    scene.host.cold.set_excess(excess)
+    scene.become_cold(3.0)
+    scene.tell()
+    scene.load(2.9)
+    most = scene.most_in_a_second(1.0, 2.9)
+    assert excess * COLD_PER_S - 1 <= most <= BOUND
+
+
 def test_service_that_names_no_limit_is_not_limited():
     scene = Scene(cold_per_s=0.0)
     scene.become_cold(3.0)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -39,6 +39,13 @@
     assert settings.store_address == "10.200.1.7:8627"
 
 
+def test_cold_target_may_get_as_much_more_as_the_bounds_allow():
+    bounds = {**SETTINGS["bounds"], "coldExcess": 1.5}
+    allowed = parse_machine_settings(json.dumps({**SETTINGS, "bounds": bounds}))
+    assert allowed.ok.cold_excess == 1.5
+    assert parse_machine_settings(json.dumps(SETTINGS)).ok.cold_excess == 1.0
+
+
 def test_every_validation_error_is_listed_with_its_path():
     invalid = {**SETTINGS, "zone": 7, "appAddr": "here"}
     faults = parse_machine_settings(json.dumps(invalid)).error.faults
