--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -36,6 +36,7 @@
 from fulmarrudder.platform.lease import GroupLease
 from fulmarrudder.platform.operator_records import (
     CONFIG_KEY,
+    EVACUATION_PREFIX,
     OPERATOR_TOPIC,
     OperatorRecords,
 )
@@ -136,6 +137,9 @@
             on_change=self.operator_records.apply_change,
             record_departure=self.departures.record,
             is_first_start=settings.first_start,
+            on_evacuation=lambda fact: self.tail.learn(
+                f"{EVACUATION_PREFIX}{fact.data_centre}", fact.offset
+            ),
         )
         self.supervisor = self.node.supervisor
         self.store = StoreClient(
@@ -302,6 +306,7 @@
         self.settings = settings
         self.node.settings = _node_settings_of(settings)
         self.node.identifier.credentials = self.node.settings.credentials
+        self.node.host.cold.set_excess(settings.cold_excess)
         logs.setup(settings.log_level, node=settings.node)
         logs.info("reloaded", service=settings.service)
 
@@ -382,6 +387,7 @@
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
         link_bytes_per_s=settings.link_bytes_per_s,
+        cold_excess=settings.cold_excess,
         credentials=Credentials(
             fail_closed=settings.fail_closed, unconfirmed_s=settings.revoke_s
         ),
