Answers of the store are read with their era

Cause: a store that comes back from an older copy gives its offsets out again; nothing told what was read, asked or promised before from what came after. Change: platform.era knows the highest era that an answer told. An answer of an earlier one, and one to a request that was begun in an earlier one, ends with an EraError. Offsets and generations are positions, which hold the era; a position of another era is not sent. Without the header positions are offsets.

--- a/src/fulmarrudder/platform/errors.py
+++ b/src/fulmarrudder/platform/errors.py
@@ -32,6 +32,10 @@
     """
 
 
+class EraError(StoreUnavailableError):
+    """An answer, a cursor or a condition belongs to another era of the store."""
+
+
 class StoreRejectedError(StoreError):
     """The store rejected the call, or its answer is invalid.
 
--- a/src/fulmarrudder/platform/store.py
+++ b/src/fulmarrudder/platform/store.py
@@ -23,7 +23,10 @@
     RequestHead,
 )
 from fulmarrudder.clock import Clock
+from fulmarrudder.model.position import era_of, offset_of
 from fulmarrudder.node.supervisor import ignore
+from fulmarrudder.platform.era import HEADER as ERA_HEADER
+from fulmarrudder.platform.era import EraTracker, parse_era
 from fulmarrudder.platform.errors import (
     ExpiredError,
     StoreRejectedError,
@@ -52,10 +55,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class StoreResponse:
-    """A response of the store."""
+    """A response of the store.
+
+    Attributes:
+        era: Era of the store that it tells, or None.
+    """
 
     status: int
     body: bytes
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -65,7 +73,7 @@
     Attributes:
         key: Key; the topic keeps the latest record of each key.
         value: Value, or None when the key is deleted.
-        offset: Offset, or -1 when it is not known.
+        offset: Position of its offset, or -1 when it is not known.
     """
 
     key: str
@@ -79,7 +87,7 @@
 
     Attributes:
         records: The records, in order of their offsets.
-        next_offset: Offset from which to read on.
+        next_offset: Position from which to read on.
         is_latest: Whether these are the latest records of all keys.
     """
 
@@ -93,7 +101,7 @@
     """Membership in a group, from the response to a join call.
 
     Attributes:
-        generation: Increases with each change of the group.
+        generation: Increases with each change of the group, and with the era.
         holds_partition: Whether the topic's first partition is assigned to
             the member.
     """
@@ -113,10 +121,15 @@
 class StoreClient:
     """Makes calls to the store.
 
+    Offsets and generations are told and taken as positions, which hold the era
+    (see `model.position`). A call ends with an `EraError` if its answer or what
+    it refers to belongs to another era than the highest seen.
+
     Attributes:
         pool: Connection pool for the calls.
         address: host:port of the store.
         calls: Number of calls made.
+        era: The highest era that was seen.
     """
 
     def __init__(self, clock: Clock, pool: ConnectionPool, address: str):
@@ -124,6 +137,7 @@
         self.pool = pool
         self.address = address
         self.calls = 0
+        self.era = EraTracker(clock)
 
     async def read_latest(
         self, topic: str, *, timeout_s: float = CALL_TIMEOUT_S
@@ -144,12 +158,15 @@
         query = {"topic": topic, "part": "0"}
         last_keys: set[str] = set()
         next_offset: int | None = None
+        begun: int | None = None
         while True:
             response = await self._get("/-/log-newest", query, timeout_s)
+            self.era.check(begun, response.era)
+            begun = self.era.number
             page = _parse_object(response)
             try:
-                records += [_parse_item(item) for item in page["items"]]
-                end, more = _parse_offset(page["endOffset"]), page["hasMore"]
+                records += [self._parse_item(item) for item in page["items"]]
+                end, more = self._parse_end(page), page["hasMore"]
             except (KeyError, TypeError, ValueError) as error:
                 raise StoreRejectedError(
                     response.status, f"invalid page: {error}"
@@ -170,7 +187,7 @@
             last_keys.add(records[-1].key)
 
     async def read_end(self, topic: str) -> int:
-        """Returns the offset at which a compacted topic ends.
+        """Returns the position at which a compacted topic ends.
 
         Raises:
             StoreError: The store is unavailable or rejects the call.
@@ -179,7 +196,7 @@
         response = await self._get("/-/log-newest", query, END_TIMEOUT_S)
         page = _parse_object(response)
         try:
-            return _parse_offset(page["endOffset"])
+            return self._parse_end(page)
         except (KeyError, TypeError) as error:
             raise StoreRejectedError(
                 response.status, f"invalid page: {error}"
@@ -193,11 +210,11 @@
         *,
         on_head: Callable[[], None] = ignore,
     ) -> RecordBatch:
-        """Reads records of a compacted topic from an offset on.
+        """Reads records of a compacted topic from a position on.
 
         Args:
             topic: Name of the topic.
-            start: Offset of the first record.
+            start: Position of the first record.
             wait_s: Seconds to wait for a record when there is none.
             on_head: Called when the response begins to arrive.
 
@@ -208,7 +225,7 @@
         query = {
             "topic": topic,
             "part": "0",
-            "from": str(start),
+            "from": str(self.era.offset_of(start)),
             "waitMs": str(int(wait_s * 1000)),
         }
         response = await self._get(
@@ -238,7 +255,7 @@
             epoch: Fencing epoch; the store rejects later appends of the
                 producer with a lower one.
             sequence: Number of the append within its epoch.
-            expected_end: Offset at which the partition must end; the store
+            expected_end: Position at which the partition must end; the store
                 rejects the append if it ends elsewhere.
 
         Raises:
@@ -251,7 +268,7 @@
             query["epoch"] = str(epoch)
             query["sequence"] = str(sequence)
         if expected_end is not None:
-            query["at"] = str(expected_end)
+            query["at"] = str(self.era.offset_of(expected_end))
         key = record.key.encode()
         data = bytes([len(key)]) + key + (record.value or b"")
         await self._post(
@@ -277,17 +294,20 @@
                 assigned to members as well.
             ttl_s: Seconds without a call after which the store removes the
                 member.
-            generation: The latest generation received, or 0.
+            generation: The latest generation received, or 0; one of an
+                earlier era counts as none.
 
         Raises:
             StoreError: The store is unavailable or rejects the call.
         """
+        if era_of(generation) != self.era.current:
+            generation = 0
         body = {
             "group": group,
             "memberId": member,
             "topics": [topic],
             "ttl_time": f"{int(ttl_s * 1000)}ms",
-            "generation": generation,
+            "generation": offset_of(generation),
         }
         response = await self._post(
             "/-/log-join", {}, json.dumps(body).encode()
@@ -299,7 +319,8 @@
                 for row in document["parts"]
             )
             return GroupMembership(
-                generation=document["generation"], holds_partition=holds
+                generation=self.era.position_of(document["generation"]),
+                holds_partition=holds,
             )
         except (KeyError, TypeError, IndexError) as error:
             raise StoreRejectedError(
@@ -357,6 +378,7 @@
         on_head: Callable[[], None] = ignore,
     ) -> StoreResponse:
         self.calls += 1
+        begun = self.era.number
         deadline = self.clock.seconds() + timeout_s
         try:
             connection = await self.pool.acquire(self.address)
@@ -367,6 +389,7 @@
             raise StoreUnavailableError(
                 f"{type(error).__name__}: {error}"
             ) from error
+        self.era.check(begun, response.era)
         if response.status == 410:
             raise ExpiredError(head.target.decode())
         if response.status in (429, 503):
@@ -410,6 +433,8 @@
             deadline + BODY_TIMEOUT_S
         ).addTimeout(head_left_s, self.clock)
         on_head()
+        era = parse_era(answer_head.headers.get(ERA_HEADER))
+        self.era.note(era)
         collector = BodyCollector()
         exchange.stream_to(collector)
         body_left_s = BODY_TIMEOUT_S
@@ -421,7 +446,25 @@
         except TimeoutError:
             exchange.cancel()
             raise
-        return StoreResponse(status=answer_head.status, body=data)
+        return StoreResponse(status=answer_head.status, body=data, era=era)
+
+    def _parse_item(self, item: dict) -> KeyedRecord:
+        key = item["key"]
+        if not isinstance(key, str):
+            raise TypeError("a key is not a string")
+        return KeyedRecord(
+            key=key,
+            value=base64.b64decode(item["value"]),
+            offset=self._parse_offset(item["offset"]),
+        )
+
+    def _parse_end(self, page: dict) -> int:
+        return self._parse_offset(page["endOffset"])
+
+    def _parse_offset(self, value: object) -> int:
+        if not isinstance(value, int):
+            raise TypeError("an offset is not a number")
+        return self.era.position_of(value)
 
 
 def _parse_object(response: StoreResponse) -> dict:
@@ -436,23 +479,6 @@
     return document
 
 
-def _parse_item(item: dict) -> KeyedRecord:
-    key = item["key"]
-    if not isinstance(key, str):
-        raise TypeError("a key is not a string")
-    return KeyedRecord(
-        key=key,
-        value=base64.b64decode(item["value"]),
-        offset=_parse_offset(item["offset"]),
-    )
-
-
-def _parse_offset(value: object) -> int:
-    if not isinstance(value, int):
-        raise TypeError("an offset is not a number")
-    return value
-
-
 def _parse_read_response(data: bytes, start: int) -> RecordBatch:
     if len(data) < READ_HEADER.size:
         raise StoreRejectedError(200, "read response shorter than its header")
