Nodes follow the store into a later era

Cause: after the store has come back from an older copy, a cursor, a term, a condition or "this is written" of before means something else. Change: on a rise the lease is given up and counts again after its lifetime, the tail reads all keys, the own record and the statuses of moves are looked for and written again by one node, and the others are told by a fact. What others write again is awaited: a key that is absent or older counts after AWAIT_S and another read. An order that was written again keeps its move; results never go back. Wire: links speak protocol 2, whose nodes take facts of the kind era; nodes of an earlier one are sent none.

--- a/src/fulmarrudder/distribution/codec.py
+++ b/src/fulmarrudder/distribution/codec.py
@@ -28,6 +28,7 @@
     Evidence,
     MoveProgress,
     Presence,
+    SourceEra,
     Strike,
 )
 
@@ -53,6 +54,7 @@
     evidence=Evidence,
     summary=ConfigSummary,
     course=MoveProgress,
+    era=SourceEra,
 )
 FACT_BATCH_KIND = "spread"
 
--- a/src/fulmarrudder/distribution/message.py
+++ b/src/fulmarrudder/distribution/message.py
@@ -7,9 +7,10 @@
 from fulmarrudder.model import Fact
 from fulmarrudder.state_machine import State
 
-# Nodes of protocol 1 take `SourceUpdate` and `ConfigChange`; those of protocol 0
-# close a link on which a message of an unknown kind arrives.
-PROTOCOL = 1
+# Nodes of protocol 1 take `SourceUpdate` and `ConfigChange`, those of protocol 2
+# facts of the kind `SourceEra`. A node closes a link on which a message or a fact
+# of an unknown kind arrives.
+PROTOCOL = 2
 
 
 class Role(enum.Enum):
--- a/src/fulmarrudder/distribution/outbox.py
+++ b/src/fulmarrudder/distribution/outbox.py
@@ -7,11 +7,13 @@
 from fulmarrudder.distribution.guard import Guard, ignore
 from fulmarrudder.distribution.link import Link
 from fulmarrudder.distribution.message import FactBatch
+from fulmarrudder.distribution.spread import protocol_of
 from fulmarrudder.model import (
     Brake,
     Fact,
     MoveProgress,
     Presence,
+    SourceEra,
     Strike,
     key_of,
 )
@@ -19,7 +21,7 @@
 # Delay of facts that are not urgent, so that one message carries several.
 FLUSH_DELAY_S = 0.05
 MAX_FACTS_PER_MESSAGE = 200
-URGENT_KINDS = (Brake, Strike, MoveProgress, Presence)
+URGENT_KINDS = (Brake, Strike, MoveProgress, Presence, SourceEra)
 
 
 class Outbox:
@@ -73,11 +75,15 @@
             self.send_guarded(link, facts.values())
 
     def send(self, link: Link, facts: Iterable[Fact]) -> None:
-        """Sends facts that the node of a link may lack, at once.
+        """Sends facts that the node of a link may lack and takes, at once.
 
         Messages are of limited size.
         """
-        facts = tuple(fact for fact in facts if self.lacks(link, fact))
+        facts = tuple(
+            fact
+            for fact in facts
+            if protocol_of(fact) <= link.protocol and self.lacks(link, fact)
+        )
         for start in range(0, len(facts), MAX_FACTS_PER_MESSAGE):
             part = facts[start : start + MAX_FACTS_PER_MESSAGE]
             link.send(FactBatch(facts=part))
--- a/src/fulmarrudder/distribution/spread.py
+++ b/src/fulmarrudder/distribution/spread.py
@@ -11,7 +11,7 @@
 from functools import singledispatch
 
 from fulmarrudder.distribution.evidence import node_of_source
-from fulmarrudder.model import Evidence, Fact, Presence
+from fulmarrudder.model import Evidence, Fact, Presence, SourceEra
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -74,6 +74,17 @@
     return hop.is_own and (hop.to_reader or hop.to_gateway)
 
 
+@singledispatch
+def protocol_of(fact: Fact) -> int:
+    """Returns the lowest protocol whose nodes take a kind of facts."""
+    return 0
+
+
+@protocol_of.register
+def _(fact: SourceEra) -> int:
+    return 2
+
+
 @singledispatch
 def origin_of(fact: Fact) -> str:
     """Returns the id of the node that a fact describes, or empty."""
--- a/src/fulmarrudder/model/fact.py
+++ b/src/fulmarrudder/model/fact.py
@@ -191,6 +191,17 @@
     reason: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SourceEra:
+    """The source of versions has come back from an older copy.
+
+    Attributes:
+        number: How often it has; see `model.position`.
+    """
+
+    number: int
+
+
 Fact = (
     Presence
     | Brake
@@ -199,6 +210,7 @@
     | Evidence
     | ConfigSummary
     | MoveProgress
+    | SourceEra
 )
 
 
@@ -251,6 +263,11 @@
     return FactKey(kind="course", name=fact.move)
 
 
+@key_of.register
+def _(fact: SourceEra) -> FactKey:
+    return FactKey(kind="era", name="source")
+
+
 @singledispatch
 def precedence_of(fact: Fact) -> tuple[int, ...]:
     """Returns the precedence of a fact among facts with the same key."""
@@ -284,3 +301,8 @@
     # of the duty may not have heard of it.
     closed = int(fact.phase in CLOSED_PHASES)
     return (closed, fact.term, fact.step)
+
+
+@precedence_of.register
+def _(fact: SourceEra) -> tuple[int, ...]:
+    return (fact.number,)
--- a/src/fulmarrudder/move/__init__.py
+++ b/src/fulmarrudder/move/__init__.py
@@ -27,6 +27,7 @@
     MoveRequestStore,
     MoveResult,
     RecordedMove,
+    request_id,
 )
 from fulmarrudder.move.schedule import next_action
 from fulmarrudder.move.stats import Counts, MoveStats, RouteEvidence
@@ -52,4 +53,5 @@
     "compare_versions",
     "next_action",
     "next_verdict_action",
+    "request_id",
 ]
--- a/src/fulmarrudder/move/request.py
+++ b/src/fulmarrudder/move/request.py
@@ -8,6 +8,7 @@
 from collections.abc import Iterable
 
 from fulmarrudder.model import MoveProgress
+from fulmarrudder.model.position import era_of
 from fulmarrudder.state_machine import Move, Phase
 
 ENDED = frozenset({Phase.COMPLETED, Phase.TAKEN_BACK})
@@ -24,7 +25,7 @@
     Attributes:
         id: Unique id of the request; becomes the id of the move.
         deadline: Wall-clock seconds by which the move should be completed.
-        offset: Offset of its record; a later request has a higher one.
+        offset: Position of its record; a later request has a higher one.
     """
 
     id: str
@@ -34,14 +35,25 @@
     offset: int
 
 
+def request_id(service: str, to_version: str, offset: int) -> str:
+    """Returns the id of the request whose record has a position."""
+    return f"{service}/{to_version}/{offset}"
+
+
+def _offset_in(move: str) -> int | None:
+    """Returns the position that the id of a request tells, or None."""
+    offset = move.rpartition("/")[2]
+    return int(offset) if offset.isdecimal() else None
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MoveResult:
     """Recorded result of the latest move of a service.
 
     Attributes:
         taken_back: Whether the move was taken back rather than completed.
-        request_offset: Offset of the move's request, or None in a record of an
-            older build.
+        request_offset: Position of the move's request, or None in a record of
+            an older build.
     """
 
     service: str
@@ -66,8 +78,8 @@
 
     Attributes:
         phase: Running, completed or taken back.
-        request_offset: Offset of the move's request, or None in a record of an
-            older build.
+        request_offset: Position of the move's request, or None in a record of
+            an older build.
         withdrawn: Versions that moves before this one led to without
             completing, oldest first.
     """
@@ -116,17 +128,33 @@
         results: The latest recorded result of each service.
         repeated: Id of the latest request of each service that asks for the
             same target version as the one before it.
+        doubtful: The latest request of each service as it was read, if it may
+            be one of an earlier era whose record was written again.
+        recorded: Positions of the requests to each service and target version
+            that records tell.
     """
 
     def __init__(self):
+        self.doubtful: dict[str, MoveRequest] = {}
+        self.recorded: dict[tuple[str, str], set[int]] = {}
         self.repeated: dict[str, str] = {}
         self.requests: dict[str, MoveRequest] = {}
         self.results: dict[str, MoveResult] = {}
         self.outcomes: dict[str, dict[str, VersionOutcome]] = {}
         self.replaced: dict[str, MoveRequest] = {}
 
-    def add_move_request(self, request: MoveRequest) -> bool:
-        """Stores a request; returns whether it is new."""
+    def add_move_request(
+        self, request: MoveRequest, *, is_doubtful: bool = False
+    ) -> bool:
+        """Stores a request; returns whether it is new.
+
+        Args:
+            request: The request.
+            is_doubtful: Whether it may be one of an earlier era.
+        """
+        self.doubtful.pop(request.service, None)
+        if is_doubtful and era_of(max(0, request.offset)):
+            self.doubtful[request.service] = request
         latest = self.requests.get(request.service)
         if latest is not None and latest.id == request.id:
             return False
@@ -136,8 +164,44 @@
         self.requests[request.service] = request
         return True
 
+    def identify(self, progress: Iterable[MoveProgress]) -> None:
+        """Gives each doubtful request the id that it had in an earlier era.
+
+        That is the id of the latest known move to the same target version,
+        unless a move is known by the request's own id.
+
+        Args:
+            progress: Progress of the moves that this node has received.
+        """
+        if not self.doubtful:
+            return
+        known = {target: set(at) for target, at in self.recorded.items()}
+        for latest in progress:
+            target = (latest.service, latest.to_version)
+            offset = _offset_in(latest.move)
+            if offset is not None:
+                known.setdefault(target, set()).add(offset)
+        for service, read in self.doubtful.items():
+            found = known.get((service, read.to_version), set())
+            earlier = [o for o in found if era_of(o) < era_of(read.offset)]
+            offset = read.offset
+            if earlier and offset not in found:
+                offset = max(earlier)
+            self.requests[service] = dataclasses.replace(
+                read,
+                id=request_id(service, read.to_version, offset),
+                offset=offset,
+            )
+
     def add_move_result(self, result: MoveResult) -> None:
-        """Stores a recorded result."""
+        """Stores a recorded result, unless that of a later request is known."""
+        known = self.results.get(result.service)
+        if known is not None and None not in (
+            known.request_offset,
+            result.request_offset,
+        ):
+            if known.request_offset >= result.request_offset:
+                return
         self.results[result.service] = result
 
     def add_recorded_move(self, recorded: RecordedMove) -> None:
@@ -145,6 +209,8 @@
         if recorded.result is not None:
             self.add_move_result(recorded.result)
         offset = recorded.request_offset or 0
+        target = (recorded.service, recorded.to_version)
+        self.recorded.setdefault(target, set()).add(offset)
         for version in recorded.withdrawn:
             self._note(
                 recorded.service, version, offset - 1, is_established=False
@@ -158,6 +224,7 @@
 
     def remove(self, service: str) -> None:
         """Removes the request of a service."""
+        self.doubtful.pop(service, None)
         self._replace(self.requests.pop(service, None))
 
     def note_completed(self, progress: Iterable[MoveProgress]) -> None:
@@ -257,6 +324,36 @@
             found.append(self._move(request, by_move.get(request.id)))
         return tuple(sorted(found, key=lambda move: move.id))
 
+    def recorded_moves(
+        self, progress: Iterable[MoveProgress]
+    ) -> tuple[Move, ...]:
+        """Returns the moves whose status was recorded, sorted by id.
+
+        Args:
+            progress: Progress of the moves that this node has received.
+        """
+        found = [
+            m for m in self.moves(progress) if m.permille or m.phase in ENDED
+        ]
+        for service, result in self.results.items():
+            if service in self.requests or result.request_offset is None:
+                continue
+            offset = result.request_offset
+            found.append(
+                Move(
+                    id=request_id(service, result.to_version, offset),
+                    service=service,
+                    from_version="",
+                    to_version=result.to_version,
+                    operator="operator",
+                    deadline=0.0,
+                    permille=result.permille,
+                    phase=result.phase,
+                    opened=offset,
+                )
+            )
+        return tuple(sorted(found, key=lambda move: move.id))
+
     def unreported_results(
         self, progress: Iterable[MoveProgress]
     ) -> tuple[MoveProgress, ...]:
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -41,6 +41,7 @@
     Fact,
     MoveProgress,
     Presence,
+    SourceEra,
 )
 from fulmarrudder.move import (
     Controller,
@@ -131,6 +132,7 @@
             None before the first one.
         state: The active arrangement and the moves; not built from a log.
         move_requests: Move requests of the operator.
+        source_era: Era of the source of versions; 0 if it tells none.
         move_results_loaded: Whether the results recorded before this process
             started are known. Without them a move that has ended looks open.
     """
@@ -154,6 +156,8 @@
         on_change: Callable[[ConfigChange], None] = ignore,
         record_departure: Callable[[DepartedTarget], Deferred] = _keep_nowhere,
         is_first_start: bool = True,
+        on_source_era: Callable[[int], None] = ignore,
+        has_records_to_write: Callable[[], bool] = bool,
     ):
         """Builds a node.
 
@@ -182,6 +186,10 @@
                 once a restart of all nodes doesn't lose it, or once that has
                 taken too long.
             is_first_start: Whether no departure was recorded before.
+            on_source_era: Called with an era of the source of versions that
+                another node has seen.
+            has_records_to_write: Returns whether the holder of the controller's
+                duty has records to write again.
         """
         self.settings = settings
         self.clock = reactor
@@ -189,6 +197,8 @@
         self.incarnation = incarnation
         self.lease = lease
         self.on_version_told = on_version_told
+        self.on_source_era = on_source_era
+        self.has_records_to_write = has_records_to_write
         self.wall_offset_s = wall_seconds() - reactor.seconds()
         self.metrics = Metrics()
         self.supervisor = Supervisor(reactor, self.metrics, rng)
@@ -210,6 +220,7 @@
         )
         self.move_requests = MoveRequestStore()
         self.move_results_loaded = False
+        self.source_era = 0
         self.render_document: Callable[[], Document] | None = None
         self.state = State()
         own = Presence(
@@ -425,9 +436,18 @@
         """Records that the source of versions has answered."""
         self.entry.freshness.confirmed_at = self.clock.seconds()
 
-    def add_move_request(self, request: MoveRequest) -> None:
-        """Adds an operator's request to move a service."""
-        if self.move_requests.add_move_request(request):
+    def add_move_request(
+        self, request: MoveRequest, *, is_doubtful: bool = False
+    ) -> None:
+        """Adds an operator's request to move a service.
+
+        Args:
+            request: The request.
+            is_doubtful: Whether it may be one of an earlier era of its source.
+        """
+        if self.move_requests.add_move_request(
+            request, is_doubtful=is_doubtful
+        ):
             logs.info(
                 "move-requested", move=request.id, deadline=request.deadline
             )
@@ -519,13 +539,24 @@
         departed = self.local_target.latest_departed
         return self.record_departure(departed) if departed else succeed(None)
 
+    def recorded_moves(self) -> tuple[Move, ...]:
+        """Returns the moves that have a status in the store."""
+        progress = self.facts.all_of(MoveProgress)
+        return self.move_requests.recorded_moves(progress)
+
+    def enter_source_era(self, number: int) -> None:
+        """Tells all nodes that the source of versions has a later era."""
+        self.gossip.broadcast(SourceEra(number=number))
+
     def open_moves(self) -> tuple[Move, ...]:
         """Returns the moves that have no recorded result yet."""
         return tuple(m for m in self.state.moves if m.phase in OPEN_PHASES)
 
     def is_controller_candidate(self) -> bool:
         """Returns whether this node should try to obtain the lease."""
-        if not self.open_moves() or self.host.leaving:
+        if not (self.open_moves() or self.has_records_to_write()):
+            return False
+        if self.host.leaving:
             return False
         if not self.move_results_loaded:
             return False
@@ -633,6 +664,8 @@
             "fulmarrudder_slots_taken": self.host.slots.taken,
             "fulmarrudder_slots_queued": self.host.slots.queued,
         }
+        if self.source_era:
+            values["fulmarrudder_source_era"] = self.source_era
         samples = (
             Sample(name=name, labels=(), value=value)
             for name, value in values.items()
@@ -668,6 +701,8 @@
             self.monitor.add_evidence(fact)
         if isinstance(fact, MoveProgress):
             self._sync_moves()
+        if isinstance(fact, SourceEra):
+            self.on_source_era(fact.number)
         if not isinstance(fact, Presence):
             return
         self._log_presence(fact)
@@ -708,6 +743,7 @@
 
     def _sync_moves(self) -> None:
         progress = self.facts.all_of(MoveProgress)
+        self.move_requests.identify(progress)
         for closed in self.move_requests.unreported_results(progress):
             logs.info("move-closed", move=closed.move, phase=closed.phase)
             # Merged, it is reported no more.
--- a/src/fulmarrudder/observe/metrics.py
+++ b/src/fulmarrudder/observe/metrics.py
@@ -110,6 +110,9 @@
     "fulmarrudder_endpoints_ejected": _Family(
         Gauge, "Endpoints that this node has ejected."
     ),
+    "fulmarrudder_source_era": _Family(
+        Gauge, "Highest era of the source of versions that was seen."
+    ),
     "fulmarrudder_brakes": _Family(Gauge, "Brakes known."),
     "fulmarrudder_strikes": _Family(
         Gauge, "Deaths of targets, by the requests that they ran, known here."
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -44,6 +44,7 @@
     MachineSettings,
     load_machine_settings,
 )
+from fulmarrudder.platform.statuses import StatusRestorer
 from fulmarrudder.platform.store import RecordBatch, StoreClient
 from fulmarrudder.platform.tail import Tail
 from fulmarrudder.reactor import install_reactor
@@ -62,6 +63,10 @@
 DIRECTORY_REFRESH_S = 20.0
 # The same of all other nodes.
 RARE_DIRECTORY_REFRESH_S = 120.0
+# Longest delay of the read in which a node looks for its own record after the
+# store has come back from an older copy. Nodes draw theirs, so that the store is
+# not asked by all at once.
+DIRECTORY_ERA_DELAY_S = 2.0
 # Pause before a departure is recorded again, after a write that failed.
 DEPARTURES_PERIOD_S = 1.0
 # Pause before the results of moves are read again, after a read that failed.
@@ -136,6 +141,8 @@
             on_change=self.operator_records.apply_change,
             record_departure=self.departures.record,
             is_first_start=settings.first_start,
+            on_source_era=lambda number: self.store.era.note(number),
+            has_records_to_write=lambda: self.statuses.is_due(),
         )
         self.supervisor = self.node.supervisor
         self.store = StoreClient(
@@ -144,6 +151,12 @@
         self.operator_records.store = self.store
         self.operator_records.node = self.node
         self.lease.store = self.store
+        self.statuses = StatusRestorer(
+            self.lease,
+            lambda may_write: self.operator_records.write_statuses_again(
+                may_write
+            ),
+        )
         own = Peer(
             node=settings.node,
             data_centre=settings.data_centre,
@@ -170,7 +183,9 @@
             reads_from=self.duty.reads_from,
             due_s=settings.config_apply_s,
             max_retry_s=self.duty.retry_delay_s,
+            versioned_keys=frozenset({CONFIG_KEY}),
         )
+        self.operator_records.is_in_doubt = self.tail.is_in_doubt
         self.refresher = Refresher(
             clock=reactor,
             tail=self.tail,
@@ -185,9 +200,35 @@
             tell=self.node.gossip.tell_source,
             on_confirmed=self.node.confirm_version,
             version_key=CONFIG_KEY,
+            era=self.store.era,
+        )
+        self.store.era.listeners.append(
+            self.supervisor.guard("store-era", self._enter_era)
         )
         self.operator_records.on_activated = self.follower.settle
 
+    def _enter_era(self, before: int | None, era: int) -> None:
+        """Handles that an era of the store was seen for the first time.
+
+        Args:
+            before: The era before, or None after a start.
+            era: The era.
+        """
+        # First: a holder of the duty stops at once.
+        self.lease.enter_era()
+        self.node.source_era = era
+        if before is None:
+            return
+        self.tail.enter_era()
+        self.follower.enter_era()
+        self.directory.enter_era()
+        self.next_search_at = self.reactor.seconds() + self.rng.uniform(
+            0.0, DIRECTORY_ERA_DELAY_S
+        )
+        if self.node.recorded_moves():
+            self.statuses.enter_era(era)
+        self.node.enter_source_era(era)
+
     def start(self) -> None:
         """Starts the node's listeners and periodic tasks."""
         settings, node = self.settings, self.node
@@ -212,6 +253,7 @@
         node.start()
         every(TICK_PERIOD_S, "lease", self._tick_lease)
         every(TICK_PERIOD_S, "lease-records", self.lease.read_records)
+        every(TICK_PERIOD_S, "statuses", self.statuses.tick)
         every(TICK_PERIOD_S, "config-from-peers", self._ask_peers)
         every(DIRECTORY_PERIOD_S, "directory", self._search_peers)
         every(SETTINGS_CHECK_PERIOD_S, "settings", self._check_settings_file)
--- a/src/fulmarrudder/platform/directory.py
+++ b/src/fulmarrudder/platform/directory.py
@@ -5,6 +5,7 @@
 """
 
 import pydantic
+from twisted.internet.defer import DeferredLock
 
 from fulmarrudder.address import Address
 from fulmarrudder.distribution import Peer
@@ -38,6 +39,10 @@
         registered: Whether the directory holds this node's own record.
         departed: The target that left last beside this node, of this or an
             earlier start, or None.
+        is_lost: Whether the store may have lost this node's own record, which
+            is then looked for before it is written.
+        own_entry: This node's own record as it was last read, or None.
+        turns: Lets one look for the record, and write it, at a time.
     """
 
     def __init__(
@@ -48,6 +53,15 @@
         self.first_start = first_start
         self.registered = False
         self.departed: DepartedTarget | None = None
+        self.is_lost = False
+        self.own_entry: _Entry | None = None
+        self.turns = DeferredLock()
+
+    def enter_era(self) -> None:
+        """Handles that the store has come back from an older copy."""
+        self.registered = False
+        self.first_start = False
+        self.is_lost = True
 
     async def fetch_peers(self) -> tuple[Peer, ...]:
         """Reads the records of all nodes.
@@ -58,18 +72,33 @@
         Raises:
             StoreError: The store is unavailable or rejects a call.
         """
+        await self.turns.acquire()
+        try:
+            return await self._fetch_peers()
+        finally:
+            self.turns.release()
+
+    async def _fetch_peers(self) -> tuple[Peer, ...]:
         if not self.registered and self.first_start:
             await self._register()
         peers = await self._read()
-        if not self.registered and self.own in peers:
+        if not self.registered and self._is_recorded(peers):
             self.registered = True
+            self.is_lost = False
         if not self.registered:
             await self._register()
             peers = await self._read()
         return peers
 
+    def _is_recorded(self, peers: tuple[Peer, ...]) -> bool:
+        if self.own not in peers:
+            return False
+        # Departures are otherwise recorded on their own.
+        return not self.is_lost or self.own_entry == self._entry()
+
     async def _read(self) -> tuple[Peer, ...]:
         latest = await self.store.read_latest(TOPIC)
+        self.own_entry = None
         peers = []
         for record in latest.records:
             entry = _parse_entry(record)
@@ -77,6 +106,7 @@
                 continue
             peers.append(_peer_of(record.key, entry))
             if record.key == self.own.node:
+                self.own_entry = entry
                 self._recall(entry)
         return tuple(peers)
 
@@ -84,19 +114,24 @@
         if self.departed is None and entry.departed is not None:
             self.departed = DepartedTarget(**dict(entry.departed))
 
-    async def _register(self) -> None:
+    def _entry(self) -> _Entry:
         departed = self.departed
-        entry = _Entry(
+        return _Entry(
             mesh=self.own.mesh_address,
             data_centre=self.own.data_centre,
             departed=departed
             and _Departed(id=departed.id, incarnation=departed.incarnation),
         )
-        value = entry.model_dump_json(exclude_none=True).encode()
+
+    async def _register(self) -> None:
+        value = self._entry().model_dump_json(exclude_none=True).encode()
         await self.store.append(
             TOPIC, KeyedRecord(key=self.own.node, value=value)
         )
         self.registered = True
+        if self.is_lost:
+            self.is_lost = False
+            logs.info("record-written-again", topic=TOPIC, key=self.own.node)
 
     async def record_departure(self, departed: DepartedTarget) -> None:
         """Writes the departure of this node's target into its record.
@@ -106,6 +141,10 @@
         """
         self.departed = departed
         try:
+            if self.is_lost:
+                await self.fetch_peers()
+                if self.own_entry == self._entry():
+                    return
             await self._register()
         except StoreError as error:
             raise DepartureRecordError(str(error)) from error
--- a/src/fulmarrudder/platform/follower.py
+++ b/src/fulmarrudder/platform/follower.py
@@ -4,6 +4,8 @@
 
 from fulmarrudder.distribution.message import SourceRecord, SourceUpdate
 from fulmarrudder.distribution.readers import ReaderDuty
+from fulmarrudder.model.position import era_of
+from fulmarrudder.platform.era import EraTracker
 from fulmarrudder.platform.refresher import Refresher
 from fulmarrudder.platform.store import KeyedRecord, RecordBatch
 from fulmarrudder.platform.tail import Tail
@@ -25,6 +27,7 @@
         tell: Tells the other nodes of the data centre.
         on_confirmed: Called when it is known that there is no later version.
         version_key: Key of the records of versions.
+        era: The highest era of the store that was seen.
         end: Offset before which all records are known, except versions.
         told_version: Latest version before that offset.
     """
@@ -40,6 +43,7 @@
         tell: Callable[[SourceUpdate], None],
         on_confirmed: Callable[[], None],
         version_key: str,
+        era: EraTracker,
     ):
         self.tail = tail
         self.duty = duty
@@ -49,6 +53,7 @@
         self.tell = tell
         self.on_confirmed = on_confirmed
         self.version_key = version_key
+        self.era = era
         self.end = 0
         self.told_version = 0
 
@@ -80,8 +85,20 @@
             )
         )
 
+    def enter_era(self) -> None:
+        """Handles that the store has come back from an older copy."""
+        self.end = 0
+
     def receive(self, update: SourceUpdate) -> None:
-        """Handles what another node of the data centre has read."""
+        """Handles what another node of the data centre has read.
+
+        Its positions tell the era in which it was read.
+        """
+        era = era_of(max(0, update.end))
+        if era:
+            self.era.note(era)
+        if era < self.era.current:
+            return
         self.duty.hear()
         if self.tail.next_offset < 0:
             # The first read of this node brings all of it.
--- a/src/fulmarrudder/platform/lease.py
+++ b/src/fulmarrudder/platform/lease.py
@@ -27,13 +27,16 @@
         member_id: Id of this node in the group.
         catch_up: Reads the records that were written before the call, or
             raises a `StoreError`.
-        term: Generation of the group; the fencing token of the holder.
+        term: Generation of the group; the fencing token of the holder. It rises
+            with the era of the store as well.
         caught_up_term: Latest term whose earlier records were read.
         held_until: Clock seconds at which the lease ends; 0 when the partition
             is not assigned to this node.
         next_join_at: Clock seconds at which the next join call is due.
         resigned_until: Clock seconds before which this node does not seek the
             duty.
+        acts_from: Clock seconds before which the lease does not count: a holder
+            of an earlier era may not have heard of this one.
     """
 
     def __init__(
@@ -52,15 +55,33 @@
         self.held_until = 0.0
         self.next_join_at = 0.0
         self.resigned_until = 0.0
+        self.acts_from = 0.0
         self.joined = False
 
+    def enter_era(self) -> None:
+        """Gives the lease up, as the store has come back from an older copy.
+
+        A holder of the era before has renewed its lease there for the last time
+        before this one began, so that it acts for `TTL_S` from now at most.
+        """
+        was_held = self.holds_lease()
+        now = self.clock.seconds()
+        self.held_until = 0.0
+        self.next_join_at = now
+        self.acts_from = now + TTL_S
+        self._log_change(was_held)
+
     def holds_lease(self) -> bool:
         """Returns whether this node holds the lease now.
 
         It does once it knows the records before the term, as another node may
         have held the lease until then.
         """
-        return self._is_assigned() and self.caught_up_term == self.term
+        return (
+            self._is_assigned()
+            and self.caught_up_term == self.term
+            and self.clock.seconds() >= self.acts_from
+        )
 
     def resign(self) -> None:
         """Gives the lease up for some seconds, so that another node gets it."""
@@ -81,6 +102,7 @@
         self.held_until = min(self.held_until, now + TTL_S)
         self.next_join_at = min(self.next_join_at, now + RENEW_PERIOD_S)
         self.resigned_until = min(self.resigned_until, now + RESIGN_S)
+        self.acts_from = min(self.acts_from, now + TTL_S)
         if not is_candidate or now < self.resigned_until:
             return self._leave() if self.joined else None
         return self._join() if now >= self.next_join_at else None
@@ -96,6 +118,8 @@
         """
         if not self._is_assigned() or self.caught_up_term == self.term:
             return None
+        if self.clock.seconds() < self.acts_from:
+            return None
         return self._read_records()
 
     def _is_assigned(self) -> bool:
--- a/src/fulmarrudder/platform/operator_records.py
+++ b/src/fulmarrudder/platform/operator_records.py
@@ -20,6 +20,7 @@
     parse_move_request,
     parse_status,
 )
+from fulmarrudder.platform.statuses import lost_statuses
 from fulmarrudder.platform.store import KeyedRecord, StoreClient
 from fulmarrudder.state_machine import Move, Phase
 
@@ -40,12 +41,15 @@
         node: The node; set once it is built.
         loader: Parses configurations.
         on_activated: Called after a configuration has become active.
+        is_in_doubt: Returns whether a record may have been known before, under
+            a position of an earlier era.
     """
 
     def __init__(self, store: StoreClient, clock: Clock):
         self.store = store
         self.node: GossipNode | None = None
         self.on_activated: Callable[[], None] = ignore
+        self.is_in_doubt: Callable[[], bool] = bool
         self.loader = ConfigLoader(
             clock,
             on_loaded=self._activate,
@@ -126,7 +130,7 @@
                 "rollout-refused", service=service, detail=parsed.error
             )
             return
-        self.node.add_move_request(parsed.ok)
+        self.node.add_move_request(parsed.ok, is_doubtful=self.is_in_doubt())
 
     async def load_move_results(self) -> None:
         """Loads the results of moves that earlier controllers recorded.
@@ -139,6 +143,36 @@
             self.node.add_recorded_move(recorded)
         self.node.move_results_loaded = True
 
+    async def write_statuses_again(self, may_write: Callable[[], bool]) -> bool:
+        """Writes the statuses that the store lacks but this node knows.
+
+        Args:
+            may_write: Returns whether this node is still the one to do it.
+
+        Returns:
+            Whether the store now holds all of them.
+
+        Raises:
+            StoreError: The store is unavailable or rejects a call.
+        """
+        latest = await self.store.read_latest(STATUS_TOPIC)
+        end = latest.next_offset
+        recorded = tuple(_recorded_moves(latest.records))
+        for move in lost_statuses(self.node.recorded_moves(), recorded):
+            if not may_write():
+                return False
+            await self._append_status(move, latest.records, end)
+            # Another record in between makes the next append fail.
+            end += 1
+            logs.info(
+                "record-written-again",
+                topic=STATUS_TOPIC,
+                key=f"{ROLLOUT_PREFIX}{move.service}",
+                move=move.id,
+                phase=move.phase.value,
+            )
+        return True
+
     async def record_status(self, move: Move) -> Phase:
         """Writes the status of a move to the store unless it has a verdict.
 
@@ -179,6 +213,12 @@
         verdict = self._verdict_on(move, latest.records)
         if verdict is not None:
             return verdict
+        await self._append_status(move, latest.records, latest.next_offset)
+        return move.phase
+
+    async def _append_status(
+        self, move: Move, records: tuple[KeyedRecord, ...], end: int
+    ) -> None:
         await self.store.append(
             STATUS_TOPIC,
             KeyedRecord(
@@ -187,12 +227,11 @@
                     move.phase,
                     move.to_version,
                     move.opened,
-                    self._withdrawn_before(move, latest.records),
+                    self._withdrawn_before(move, records),
                 ),
             ),
-            expected_end=latest.next_offset,
+            expected_end=end,
         )
-        return move.phase
 
     def _withdrawn_before(
         self, move: Move, records: Iterable[KeyedRecord]
--- a/src/fulmarrudder/platform/rollout.py
+++ b/src/fulmarrudder/platform/rollout.py
@@ -9,7 +9,7 @@
 import pydantic
 from expression import Error, Ok, Result
 
-from fulmarrudder.move import MoveRequest, RecordedMove
+from fulmarrudder.move import MoveRequest, RecordedMove, request_id
 from fulmarrudder.platform.errors import DocumentError
 from fulmarrudder.platform.field_types import (
     Milliseconds,
@@ -58,7 +58,7 @@
 
     Args:
         data: JSON.
-        offset: Offset of its record.
+        offset: Position of its record.
         now: Time of its arrival, in wall-clock seconds.
 
     Returns:
@@ -70,7 +70,7 @@
         return Error(DocumentError("; ".join(list_faults(error))))
     return Ok(
         MoveRequest(
-            id=f"{model.service}/{model.target_version}/{offset}",
+            id=request_id(model.service, model.target_version, offset),
             service=model.service,
             to_version=model.target_version,
             deadline=now + model.duration / 1000,
@@ -117,7 +117,7 @@
     Args:
         phase: Phase of the move.
         to_version: Target version that the move leads to.
-        request_offset: Offset of the move's request, which tells the move from
+        request_offset: Position of the move's request, which tells the move from
             others to the same version.
         withdrawn: Versions that moves before this one led to without
             completing, oldest first.
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -11,11 +11,13 @@
 from fulmarrudder.log import Backoff
 from fulmarrudder.observe import logs
 from fulmarrudder.platform.errors import (
+    EraError,
     ExpiredError,
     StoreError,
     StoreRejectedError,
     StoreUnavailableError,
 )
+from fulmarrudder.platform.rewrites import AWAIT_S, Rewrites, Standing
 from fulmarrudder.platform.store import (
     KeyedRecord,
     RecordBatch,
@@ -64,6 +66,11 @@
             does not wait.
         lags: Whether records were replaced by later ones before they were
             read, so that only the latest ones are read next.
+        rewrites: Tells which records are awaited after the store has come back
+            from an older copy.
+        reads_all: Whether the records that are passed on are those of the first
+            read, or of the first one in an era.
+        due_timer: Ends the awaiting; None before the first time.
     """
 
     def __init__(
@@ -78,6 +85,7 @@
         reads_from: Callable[[], float],
         due_s: float,
         max_retry_s: Callable[[], float] = lambda: RETRY_MAX_DELAY_S,
+        versioned_keys: frozenset[str] = frozenset(),
     ):
         """Builds a tail.
 
@@ -91,6 +99,7 @@
             reads_from: See `Tail`.
             due_s: Seconds within which a record takes effect everywhere.
             max_retry_s: Returns the longest pause after a failed read.
+            versioned_keys: Keys whose values tell themselves which is later.
         """
         self.store = store
         self.clock = clock
@@ -111,6 +120,9 @@
         self.is_refreshing = False
         self.is_due = False
         self.lags = False
+        self.rewrites = Rewrites(clock, versioned_keys)
+        self.reads_all = False
+        self.due_timer = None
         self.backoff = Backoff(
             base_delay_s=RETRY_BASE_DELAY_S,
             max_delay_s=max_retry_s(),
@@ -125,6 +137,9 @@
             started_at = self.clock.seconds()
             try:
                 await self._read_once()
+            except EraError as error:
+                logs.info("store-read-void", topic=self.topic, detail=error)
+                await deferLater(self.clock, self.backoff.next_delay())
             except ExpiredError:
                 logs.info("store-records-expired", topic=self.topic)
                 self.next_offset = -1
@@ -163,17 +178,58 @@
             self.is_refreshing = True
             self.waiting.cancel()
 
+    def enter_era(self) -> None:
+        """Handles that the store has come back from an older copy.
+
+        All keys are read now, and once more when what is awaited is due.
+        """
+        self.rewrites.enter_era()
+        self._read_all()
+        if self.due_timer is not None and self.due_timer.active():
+            self.due_timer.cancel()
+        self.due_timer = self.clock.callLater(AWAIT_S, self._stop_awaiting)
+
+    def is_in_doubt(self) -> bool:
+        """Returns whether a record passed on now may have been known before.
+
+        It may after a start, and after the store has come back from an older
+        copy.
+        """
+        return self.reads_all or self.rewrites.is_awaiting()
+
+    def _stop_awaiting(self) -> None:
+        self.rewrites.stop_awaiting()
+        if self.rewrites.awaited:
+            logs.info(
+                "store-records-due",
+                topic=self.topic,
+                keys=" ".join(sorted(self.rewrites.awaited)),
+            )
+            self._read_all()
+
+    def _read_all(self) -> None:
+        self.next_offset = -1
+        self.is_due = self.lags = False
+        if self.waiting is not None:
+            self.is_refreshing = True
+            self.waiting.cancel()
+
     def pass_on(self, record: KeyedRecord) -> bool:
         """Passes a record on unless it, or a later one of its key, was.
 
         Returns:
-            Whether it was passed on now.
+            Whether it is later than what was passed on.
         """
         # Records may be read twice, and an older one after a newer one.
         if 0 <= record.offset <= self.offsets.get(record.key, -1):
             return False
+        standing = self.rewrites.standing_of(record)
+        if standing is Standing.AWAITED:
+            return True
         self.offsets[record.key] = record.offset
-        self.on_record(record)
+        if standing is Standing.NEW:
+            self.rewrites.passed(record)
+            self.on_record(record)
         return True
 
     def follow(self, end: int) -> None:
@@ -254,7 +310,9 @@
         batch = self._with_deletions(batch)
         # Skip records that a later record of the same key replaces.
         latest = {record.key: record for record in batch.records}
+        self.reads_all = start < 0
         passed = sum(self.pass_on(record) for record in latest.values())
+        self.reads_all = False
         written = batch.next_offset - start
         self.lags = start >= 0 and written > passed
         # Another read may have come further meanwhile.
@@ -270,10 +328,17 @@
         if not batch.is_latest:
             return batch
         present = {record.key for record in batch.records}
-        deletions = tuple(
-            KeyedRecord(key=key, value=None, offset=batch.next_offset - 1)
+        absent = [
+            key
             for key, offset in self.offsets.items()
             if key not in present and offset < batch.next_offset
+        ]
+        if self.rewrites.is_awaiting():
+            self.rewrites.wait_for(absent)
+            return batch
+        deletions = tuple(
+            KeyedRecord(key=key, value=None, offset=batch.next_offset - 1)
+            for key in absent
         )
         return dataclasses.replace(batch, records=batch.records + deletions)
 
--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -9,6 +9,7 @@
 from fulmarrudder.distribution.message import SourceRecord, SourceUpdate
 from fulmarrudder.distribution.readers import ReaderDuty
 from fulmarrudder.distribution.topology import Topology
+from fulmarrudder.platform.era import EraTracker
 from fulmarrudder.platform.follower import Follower
 from fulmarrudder.platform.refresher import REFRESH_DELAY_S, Refresher
 from fulmarrudder.platform.store import KeyedRecord, RecordBatch
@@ -59,6 +60,7 @@
             tell=self.told.append,
             on_confirmed=lambda: None,
             version_key=VERSION_KEY,
+            era=EraTracker(self.tail.clock),
         )
         self.running = ensureDeferred(self.tail.run())
         self.hear(10, 10)
--- a/tests/platform/test_task_faults.py
+++ b/tests/platform/test_task_faults.py
@@ -47,6 +47,7 @@
     "departures",
     "directory",
     "move-results",
+    "statuses",
     "settings",
 )
 
--- a/tests/platform/test_versions_in_time.py
+++ b/tests/platform/test_versions_in_time.py
@@ -14,6 +14,7 @@
 from fulmarrudder.distribution import Document, Peer
 from fulmarrudder.distribution.message import ConfigChange
 from fulmarrudder.distribution.readers import ReaderDuty
+from fulmarrudder.platform.era import EraTracker
 from fulmarrudder.platform.errors import StoreUnavailableError
 from fulmarrudder.platform.follower import Follower
 from fulmarrudder.platform.refresher import Refresher
@@ -197,6 +198,7 @@
             tell=mesh.tell_source,
             on_confirmed=lambda: None,
             version_key="config",
+            era=EraTracker(self.tail.clock),
         )
         mesh.documents.active_version = lambda: self.version
         mesh.documents.current_document = lambda: Document(
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -40,6 +40,7 @@
     Route,
     Service,
     SettleKey,
+    SourceEra,
     StartMove,
     StepMove,
     Strike,
@@ -291,6 +292,7 @@
             SourceRecord(key="rollout/caja", value=None, offset=7),
         ),
     ),
+    FactBatch(facts=(SourceEra(number=2),)),
 )
 ANSWERS = (
     Status(
