--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from fulmarrudder.model import SourceEra
 from fulmarrudder.node import gossip_node
 from fulmarrudder.platform.daemon import Daemon
+from fulmarrudder.platform.rewrites import AWAIT_S
 from fulmarrudder.platform.settings import parse_machine_settings
 from fulmarrudder.state_machine import OPEN_PHASES, Phase
 from tests.platform.era_store import EraPool, EraStore
@@ -159,3 +161,141 @@
     world.store.lost = ""
     world.pass_time(15.0)
     world.check_settled()
+
+
+@pytest.mark.parametrize("name", ["n1", "n2", "n3"])
+@pytest.mark.parametrize("back_after_s", [0.5, 5.0, 9.7])
+@pytest.mark.parametrize("reaches_others", [True, False])
+def test_node_without_the_store_holds_no_lease_of_an_earlier_era(
+    world, name, back_after_s, reaches_others
+):
+    world.pass_time(back_after_s)
+    world.store.cut.add(name)
+    if not reaches_others:
+        world.cut.add(name)
+    world.go_back(3.0)
+    world.pass_time(4.0)
+    if reaches_others:
+        assert world.daemons[name].store.era.current == world.store.era
+    world.store.cut.clear()
+    world.cut.clear()
+    world.check_settled()
+
+
+@pytest.mark.parametrize("apart_s", [0.0, 0.05, 0.5, 3.0])
+@pytest.mark.parametrize("back_after_s", [0.5, 9.7, 12.0])
+def test_eras_in_quick_succession_end_in_the_last_one(
+    world, apart_s, back_after_s
+):
+    world.pass_time(back_after_s)
+    world.go_back(3.0)
+    world.pass_time(apart_s)
+    world.go_back(2.0)
+    world.check_settled()
+
+
+# The answers of a node come late, as those of an era that has ended.
+@pytest.mark.parametrize("late_s", [0.2, 0.8, 1.3])
+@pytest.mark.parametrize("back_after_s", [0.5, 9.7, 12.0])
+def test_late_answers_of_an_earlier_era_change_nothing(
+    world, late_s, back_after_s
+):
+    world.pass_time(back_after_s)
+    world.store.delays = {"n1": late_s, "n2": late_s}
+    world.pass_time(0.1)
+    world.go_back(3.0)
+    world.pass_time(5.0)
+    world.check_settled()
+
+
+@pytest.mark.parametrize("restarted_after_s", [0.1, 4.0, 12.0])
+@pytest.mark.parametrize("names", [["n1"], ["n1", "n2"], ["n1", "n2", "n3"]])
+def test_node_that_restarts_in_a_later_era_knows_the_move(
+    world, names, restarted_after_s
+):
+    world.pass_time(12.0)
+    world.go_back(0.5)
+    world.pass_time(restarted_after_s)
+    for name in names:
+        world.kill(name)
+    for name in names:
+        world.start(name)
+    world.check_settled()
+
+
+@pytest.mark.parametrize("rewritten_after_s", [0.1, 3.0, 9.0])
+def test_order_that_is_written_again_goes_on(world, rewritten_after_s):
+    world.pass_time(2.0)
+    world.go_back(2.5, rewritten_after=rewritten_after_s)
+    world.pass_time(1.0)
+    assert all(d.node.open_moves() for d in world.daemons.values())
+    world.check_settled()
+
+
+def test_order_that_is_not_written_again_counts_as_withdrawn(world):
+    world.pass_time(2.0)
+    world.store.go_back(2.5)
+    world.pass_time(AWAIT_S - 0.5)
+    assert all(d.node.state.moves for d in world.daemons.values())
+    world.pass_time(1.5)
+    assert not any(d.node.state.moves for d in world.daemons.values())
+
+
+# The copy holds the order before: it must not be carried out meanwhile.
+def test_order_of_the_copy_does_not_replace_a_later_one(world):
+    world.pass_time(4.0)
+    later = ORDER.replace(b"v2", b"v3")
+    world.order(later)
+    world.pass_time(1.0)
+    world.go_back(3.0, rewritten_after=3.0)
+    for _ in range(10):
+        world.pass_time(1.0)
+        for daemon in world.daemons.values():
+            assert [m.to_version for m in daemon.node.state.moves] == ["v3"]
+
+
+def test_order_of_a_later_era_opens_a_move_to_a_version_taken_back(world):
+    world.pass_time(12.0)
+    world.go_back(3.0)
+    world.pass_time(AWAIT_S + 1.0)
+    world.order()
+    world.pass_time(1.0)
+    assert all(d.node.open_moves() for d in world.daemons.values())
+    world.check_settled()
+
+
+@pytest.mark.parametrize("back_after_s", [0.0, 0.01, 0.02, 0.03, 0.7, 2.0])
+@pytest.mark.parametrize("lost", ["", "append"])
+def test_departure_outlives_the_copy_and_a_restart(world, back_after_s, lost):
+    node = world.daemons["n1"].node
+    send_heartbeat(node, 1)
+    world.pass_time(1.0)
+    send_heartbeat(node, 2, "draining")
+    world.reactor.advance(back_after_s)
+    world.store.lost = lost
+    world.go_back(5.0)
+    world.pass_time(1.0)
+    world.store.lost = ""
+    world.pass_time(5.0)
+    entry = json.loads(world.store.newest("keyed.nodes", "n1"))
+    assert entry["departed"]["id"] == "i-1"
+    for name in tuple(world.daemons):
+        world.kill(name)
+    world.start("n1")
+    world.pass_time(1.0)
+    assert world.daemons["n1"].node.local_target.departed.id == "i-1"
+    if not lost:
+        assert set(world.written_again("keyed.nodes").values()) == {1}
+
+
+def test_store_without_eras_is_served_as_before(tmp_path, monkeypatch):
+    world = World(tmp_path, monkeypatch, era=None)
+    world.pass_time(ORDERED_AT_S)
+    world.order()
+    world.pass_time(12.0)
+    for daemon in world.daemons.values():
+        assert daemon.node.state.moves[0].id == "caja/v2/1"
+        assert not daemon.node.facts.all_of(SourceEra)
+        assert daemon.lease.acts_from == 0.0
+    status = json.loads(world.store.newest("keyed.status", "rollout/caja"))
+    assert status["requestOffset"] == 1
