Merge: store eras beside evacuations; facts of one protocol are kept from older builds in the outbox

The check of older builds in tests/distribution/test_spread.py now looks at what is sent on a link, for both kinds of facts, in place of a predicate of one of them.

--- a/src/fulmarrudder/distribution/codec.py
+++ b/src/fulmarrudder/distribution/codec.py
@@ -29,6 +29,7 @@
     Evidence,
     MoveProgress,
     Presence,
+    SourceEra,
     Strike,
 )
 
@@ -55,6 +56,7 @@
     summary=ConfigSummary,
     course=MoveProgress,
     evacuation=Evacuation,
+    era=SourceEra,
 )
 FACT_BATCH_KIND = "spread"
 
--- a/src/fulmarrudder/distribution/spread.py
+++ b/src/fulmarrudder/distribution/spread.py
@@ -11,8 +11,7 @@
 from functools import singledispatch
 
 from fulmarrudder.distribution.evidence import node_of_source
-from fulmarrudder.distribution.message import EVACUATION_PROTOCOL
-from fulmarrudder.model import Evacuation, Evidence, Fact, Presence
+from fulmarrudder.model import Evacuation, Evidence, Fact, Presence, SourceEra
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -26,7 +25,6 @@
         to_reader: Whether the receiving node reads evidence.
         came_from_afar: Whether another data centre sent the fact.
         leads_afar: Whether the link leads to another data centre.
-        protocol: Messages that the receiving node understands.
     """
 
     is_own: bool
@@ -35,7 +33,6 @@
     to_reader: bool
     came_from_afar: bool = False
     leads_afar: bool = False
-    protocol: int = 0
 
     @property
     def passes_on(self) -> bool:
@@ -64,7 +61,7 @@
 @is_forwarded.register
 def _(fact: Evacuation, hop: Hop) -> bool:
     # Other nodes of the data centre are told of the record as well.
-    return hop.passes_on and hop.protocol >= EVACUATION_PROTOCOL
+    return hop.passes_on
 
 
 @singledispatch
@@ -85,7 +82,18 @@
 
 @is_sent_on_open.register
 def _(fact: Evacuation, hop: Hop) -> bool:
-    return hop.passes_on and hop.protocol >= EVACUATION_PROTOCOL
+    return hop.passes_on
+
+
+@singledispatch
+def protocol_of(fact: Fact) -> int:
+    """Returns the lowest protocol whose nodes take a kind of facts."""
+    return 0
+
+
+@protocol_of.register
+def _(fact: Evacuation | SourceEra) -> int:
+    return 2
 
 
 @singledispatch
--- a/src/fulmarrudder/model/fact.py
+++ b/src/fulmarrudder/model/fact.py
@@ -206,6 +206,17 @@
     in_force: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SourceEra:
+    """The source of versions has come back from an older copy.
+
+    Attributes:
+        number: How often it has; see `model.position`.
+    """
+
+    number: int
+
+
 Fact = (
     Presence
     | Brake
@@ -215,6 +226,7 @@
     | ConfigSummary
     | MoveProgress
     | Evacuation
+    | SourceEra
 )
 
 
@@ -272,6 +284,11 @@
     return FactKey(kind="evacuation", name=fact.data_centre)
 
 
+@key_of.register
+def _(fact: SourceEra) -> FactKey:
+    return FactKey(kind="era", name="source")
+
+
 @singledispatch
 def precedence_of(fact: Fact) -> tuple[int, ...]:
     """Returns the precedence of a fact among facts with the same key."""
@@ -310,3 +327,8 @@
 @precedence_of.register
 def _(fact: Evacuation) -> tuple[int, ...]:
     return (fact.offset, int(not fact.in_force))
+
+
+@precedence_of.register
+def _(fact: SourceEra) -> tuple[int, ...]:
+    return (fact.number,)
--- a/tests/distribution/test_spread.py
+++ b/tests/distribution/test_spread.py
@@ -1,14 +1,12 @@
 """Evacuations reach every node that understands them."""
 
 import pytest
+from twisted.internet.task import Clock
 
-from fulmarrudder.distribution.message import EVACUATION_PROTOCOL
-from fulmarrudder.distribution.spread import (
-    Hop,
-    is_forwarded,
-    is_sent_on_open,
-)
-from fulmarrudder.model import Evacuation
+from fulmarrudder.distribution.guard import unguarded
+from fulmarrudder.distribution.message import PROTOCOL
+from fulmarrudder.distribution.outbox import Outbox
+from fulmarrudder.model import Evacuation, SourceEra
 from tests.distribution.test_gossip import running_fleet
 
 EVACUATED = Evacuation(data_centre="b", offset=7, in_force=True)
@@ -50,16 +48,24 @@
     assert not evacuated_at(net)
 
 
+class RecordingLink:
+    """A link that records the facts that are sent on it."""
+
+    def __init__(self, protocol):
+        self.protocol = protocol
+        self.facts = []
+
+    def send(self, message):
+        self.facts += message.facts
+
+
 # A node of an older build closes a link on which it gets an unknown fact.
-@pytest.mark.parametrize("protocol", range(EVACUATION_PROTOCOL + 1))
-def test_only_nodes_that_understand_evacuations_are_told(protocol):
-    hop = Hop(
-        is_own=True,
-        from_gateway=True,
-        to_gateway=True,
-        to_reader=False,
-        protocol=protocol,
-    )
-    understands = protocol >= EVACUATION_PROTOCOL
-    assert is_forwarded(EVACUATED, hop) is understands
-    assert is_sent_on_open(EVACUATED, hop) is understands
+@pytest.mark.parametrize("protocol", range(PROTOCOL + 1))
+@pytest.mark.parametrize("fact", [EVACUATED, ENDED, SourceEra(number=2)])
+def test_only_nodes_that_understand_a_fact_are_told(protocol, fact):
+    link = RecordingLink(protocol)
+    outbox = Outbox(Clock(), unguarded, lambda link, fact: True)
+    outbox.add(link, fact, is_own=True)
+    outbox.flush()
+    outbox.send(link, [fact])
+    assert link.facts == ([fact] * 2 if protocol >= 2 else [])
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -41,6 +41,7 @@
     Route,
     Service,
     SettleKey,
+    SourceEra,
     StartMove,
     StepMove,
     Strike,
@@ -295,6 +296,7 @@
     FactBatch(
         facts=(Evacuation(data_centre="lima-1", offset=17, in_force=True),)
     ),
+    FactBatch(facts=(SourceEra(number=2),)),
 )
 ANSWERS = (
     Status(
