Quotas of the fleet: buckets, sums of what nodes admit, and their messages

Cause: nothing kept a tenant's rate across nodes; each node would have admitted all that it was asked for.

Change: package quotas decides without network. Each node has a bucket for each tenant that stands for the fleet, and a pace of its own that bounds what is admitted unheard. Nodes report to a gateway of their data centre, gateways tell sums (distribution/quota_exchange.py). Data centres that are silent for 1.2 s, and nodes that their gateway does not hear, keep their part of the rate.

Change of the wire: two new messages, `counted` and `used`, sent only to nodes of protocol 2 and only where a tenant has a limit; PROTOCOL in the first message of a link rises to 2.

--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -158,6 +158,7 @@
     STOPPED = "stopped"
     UNKNOWN_KEY = "unknown-key"
     UNCONFIRMED = "configuration-not-confirmed"
+    QUOTA = "quota-exceeded"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/fulmarrudder/distribution/codec.py
+++ b/src/fulmarrudder/distribution/codec.py
@@ -30,6 +30,7 @@
     Presence,
     Strike,
 )
+from fulmarrudder.quotas.message import QuotaReport, QuotaUse
 
 MESSAGE_KINDS = Kinds(
     hello=Hello,
@@ -44,6 +45,8 @@
     document=Document,
     change=ConfigChange,
     source=SourceUpdate,
+    counted=QuotaReport,
+    used=QuotaUse,
 )
 FACT_KINDS = Kinds(
     presence=Presence,
--- a/src/fulmarrudder/distribution/message.py
+++ b/src/fulmarrudder/distribution/message.py
@@ -5,11 +5,13 @@
 
 from fulmarrudder.log import RawRecord
 from fulmarrudder.model import Fact
+from fulmarrudder.quotas.message import QuotaReport, QuotaUse
 from fulmarrudder.state_machine import State
 
-# Nodes of protocol 1 take `SourceUpdate` and `ConfigChange`; those of protocol 0
-# close a link on which a message of an unknown kind arrives.
-PROTOCOL = 1
+# Nodes of protocol 2 take `QuotaReport` and `QuotaUse`, those of protocol 1
+# `SourceUpdate` and `ConfigChange`. A node closes a link on which a message of a
+# kind arrives that it does not know.
+PROTOCOL = 2
 
 
 class Role(enum.Enum):
@@ -233,4 +235,6 @@
     | Document
     | ConfigChange
     | SourceUpdate
+    | QuotaReport
+    | QuotaUse
 )
--- a/src/fulmarrudder/observe/metrics.py
+++ b/src/fulmarrudder/observe/metrics.py
@@ -110,6 +110,15 @@
     "fulmarrudder_endpoints_ejected": _Family(
         Gauge, "Endpoints that this node has ejected."
     ),
+    "fulmarrudder_quota_silent_data_centres": _Family(
+        Gauge,
+        "Data centres of which this node does not hear what they admit.",
+    ),
+    "fulmarrudder_quota_refused": _Family(
+        Gauge,
+        "Requests refused here as beyond the quota of their tenant, for the "
+        "tenants that are refused most.",
+    ),
     "fulmarrudder_brakes": _Family(Gauge, "Brakes known."),
     "fulmarrudder_strikes": _Family(
         Gauge, "Deaths of targets, by the requests that they ran, known here."
--- /dev/null
+++ b/src/fulmarrudder/quotas/admission.py
@@ -0,0 +1,228 @@
+"""Filter: requests of tenants that are within their limits in the fleet."""
+
+import collections
+from collections.abc import Callable, Iterable
+
+from fulmarrudder.call.message import Refusal, RefusalReason
+from fulmarrudder.call.refusals import not_run
+from fulmarrudder.model import Tenant
+from fulmarrudder.quotas.bucket import TenantBucket
+from fulmarrudder.quotas.counts import (
+    Counts,
+    counts_of,
+    flat_counts,
+    tenant_id,
+)
+from fulmarrudder.quotas.fleet import FleetView
+from fulmarrudder.quotas.limits import QuotaBounds, limit_of
+from fulmarrudder.quotas.message import QuotaReport, QuotaSum, QuotaUse
+
+MIN_RETRY_AFTER_S = 0.1
+MAX_RETRY_AFTER_S = 5.0
+# Reports that are kept until the collector's sums include them.
+MAX_PENDING_REPORTS = 64
+# Part of its depth that a node admits before it reports that at once.
+PRESSING_PART = 0.5
+TOO_MANY_STATUS = 429
+DEFAULT_BOUNDS = QuotaBounds()
+
+
+def _nothing() -> None:
+    """Is called where nobody waits."""
+
+
+class FleetQuotas:
+    """Decides for one node which requests of tenants exceed their limits.
+
+    Attributes:
+        node: Id of the node.
+        bounds: What the deployment demands; replaced with the settings.
+        view: Which parts of the fleet are heard.
+        buckets: Buckets of the tenants that have a limit, by name.
+        by_id: The same, by the number that links name them by.
+        changed: Buckets with counts that are not reported yet.
+        number: Number of the latest report.
+        pending: Requests admitted by report that the collector may not have
+            included yet.
+        refusals: Requests refused here, by tenant.
+        on_pressing: Called when a report should not wait.
+        is_filled: Whether a version is in force, so that tenants of later ones
+            start with tokens.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        data_centre: str,
+        now: float,
+        bounds: QuotaBounds = DEFAULT_BOUNDS,
+    ):
+        self.node = node
+        self.bounds = bounds
+        self.view = FleetView(data_centre, now)
+        self.buckets: dict[str, TenantBucket] = {}
+        self.by_id: dict[int, tuple[TenantBucket, ...]] = {}
+        self.changed: dict[str, TenantBucket] = {}
+        self.number = 0
+        self.pending: collections.OrderedDict[int, Counts] = (
+            collections.OrderedDict()
+        )
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self.on_pressing: Callable[[], None] = _nothing
+        self.is_filled = False
+
+    @property
+    def has_limits(self) -> bool:
+        """Whether any tenant has a limit."""
+        return bool(self.buckets)
+
+    def set_tenants(self, tenants: Iterable[Tenant] | None, now: float) -> None:
+        """Applies the limits of a configuration version.
+
+        Tenants of the first version start without tokens, as the node may have
+        just restarted.
+
+        Args:
+            tenants: All tenants; None where there are none.
+            now: Clock seconds.
+        """
+        buckets = {}
+        for tenant in tenants or ():
+            bucket = self.buckets.get(tenant.name)
+            if bucket is None or bucket.tenant is not tenant:
+                bucket = self._bucket_of(tenant, bucket, now)
+            if bucket is not None:
+                buckets[tenant.name] = bucket
+        self.is_filled = True
+        if buckets.keys() != self.buckets.keys():
+            self._index(buckets)
+            self.changed = {}
+        self.buckets = buckets
+
+    def set_bounds(self, bounds: QuotaBounds, now: float) -> None:
+        """Replaces what the deployment demands."""
+        if bounds == self.bounds:
+            return
+        self.bounds = bounds
+        for bucket in self.buckets.values():
+            self._bucket_of(bucket.tenant, bucket, now)
+
+    def admit(self, tenant: Tenant, now: float) -> Refusal | None:
+        """Takes a token for a request.
+
+        Args:
+            tenant: Tenant of the request.
+            now: Clock seconds.
+
+        Returns:
+            None if the request is within the limit, else its refusal.
+        """
+        bucket = self.buckets.get(tenant.name)
+        if bucket is None:
+            return None
+        self.changed[tenant.name] = bucket
+        if bucket.take(now):
+            if self._is_pressing(bucket):
+                self.on_pressing()
+            return None
+        self.refusals[tenant.name] += 1
+        wait_s = max(MIN_RETRY_AFTER_S, bucket.wait_s(now))
+        return not_run(
+            RefusalReason.QUOTA,
+            "the tenant has used up its limit",
+            TOO_MANY_STATUS,
+            retry_after_s=min(MAX_RETRY_AFTER_S, wait_s),
+        )
+
+    def refund(self, tenant: Tenant) -> None:
+        """Returns the token of a request that reached no target."""
+        bucket = self.buckets.get(tenant.name)
+        if bucket is not None:
+            self.changed[tenant.name] = bucket
+            bucket.give_back()
+
+    def beat(self, now: float) -> None:
+        """Finds which parts of the fleet are silent."""
+        self.view.beat(now)
+
+    def take_report(self) -> QuotaReport:
+        """Returns what was counted since the last report."""
+        counts = {}
+        pressing = False
+        for bucket in self.changed.values():
+            counts[tenant_id(bucket.name)] = (bucket.admitted, bucket.refused)
+            pressing |= self._is_pressing(bucket)
+            bucket.admitted = bucket.refused = 0
+        self.changed = {}
+        self.number += 1
+        if counts:
+            self.pending[self.number] = counts
+        if len(self.pending) > MAX_PENDING_REPORTS:
+            self.pending.popitem(last=False)
+        return QuotaReport(
+            number=self.number, counts=flat_counts(counts), pressing=pressing
+        )
+
+    def forget_pending(self) -> None:
+        """Forgets the reports to a collector that is no longer used."""
+        self.pending.clear()
+
+    def hear(self, use: QuotaUse, now: float) -> None:
+        """Applies what a collector of this data centre tells."""
+        own = self._included(use)
+        for told in use.sums:
+            is_late = now < self.view.counted_from.get(told.data_centre, 0.0)
+            was_silent = told.data_centre in self.view.silent
+            self.view.hear(told.data_centre, told.missing, now)
+            if is_late or was_silent:
+                continue
+            is_local = told.data_centre == self.view.data_centre
+            self._apply(told, own if is_local else {}, now)
+
+    def _bucket_of(
+        self, tenant: Tenant, bucket: TenantBucket | None, now: float
+    ) -> TenantBucket | None:
+        """Returns the bucket of a tenant, or None if it has no limit."""
+        limit = limit_of(tenant, self.bounds)
+        if limit is None:
+            return None
+        if bucket is None:
+            tokens = limit.capacity if self.is_filled else 0.0
+            return TenantBucket(tenant, limit, self.view, now, tokens)
+        bucket.set_limit(tenant, limit, now)
+        return bucket
+
+    def _apply(self, told: QuotaSum, own: Counts, now: float) -> None:
+        for number, admitted, refused in counts_of(told.counts):
+            own_admitted, own_refused = own.get(number, (0, 0))
+            others = admitted - own_admitted
+            asked = others + refused - own_refused
+            for bucket in self.by_id.get(number, ()):
+                bucket.hear(told.data_centre, others, asked, now)
+
+    def _included(self, use: QuotaUse) -> Counts:
+        """Returns this node's own counts that a message includes."""
+        latest = dict(use.included).get(self.node, 0)
+        own: dict[int, tuple[int, int]] = {}
+        for number in tuple(self.pending):
+            if number > latest:
+                break
+            for tenant, counts in self.pending.pop(number).items():
+                before = own.get(tenant, (0, 0))
+                own[tenant] = (before[0] + counts[0], before[1] + counts[1])
+        return own
+
+    def _is_pressing(self, bucket: TenantBucket) -> bool:
+        if bucket.admitted <= 0:
+            return False
+        return (
+            bucket.is_low
+            or bucket.admitted >= PRESSING_PART * bucket.pace_depth + 1
+        )
+
+    def _index(self, buckets: dict[str, TenantBucket]) -> None:
+        by_id: dict[int, tuple[TenantBucket, ...]] = {}
+        for bucket in buckets.values():
+            number = tenant_id(bucket.name)
+            by_id[number] = (*by_id.get(number, ()), bucket)
+        self.by_id = by_id
--- /dev/null
+++ b/src/fulmarrudder/quotas/bucket.py
@@ -0,0 +1,290 @@
+"""The fleet's bucket of one tenant, as one node sees it.
+
+Two gates admit a request. The bucket stands for the whole fleet: it is filled by
+the tenant's rate, and the requests of other nodes take tokens when the node is
+told of them. The pace is the node's own part of the rate; it bounds what all
+nodes admit before they hear of each other.
+"""
+
+import dataclasses
+from collections.abc import Mapping
+
+from fulmarrudder.model import Tenant
+from fulmarrudder.quotas.demand import LONG_AVERAGED_S, Demand
+from fulmarrudder.quotas.fleet import SILENCE_S, FleetView
+from fulmarrudder.quotas.limits import Limit
+
+# Part of the rate that is shared out by number of nodes instead of demand.
+EVEN_PART = 0.2
+# Factor of the pace while the bucket is more than half full.
+EASY_PACE = 2.0
+# Seconds of its pace, and requests, that a node may admit at once.
+PACE_DEPTH_S = 0.8
+MIN_PACE_DEPTH = 3.0
+# Least part of the rate that a node has.
+MIN_SHARE = 1e-4
+# Age at which demand counts as known to all data centres, should they be cut
+# off from each other now.
+SETTLED_S = 1.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Shares:
+    """Demand of a tenant in the whole fleet at one moment.
+
+    Attributes:
+        at: The moment in clock seconds.
+        per_s: Requests a second.
+        by_data_centre: Parts of the data centres, which add up to 1.
+    """
+
+    at: float
+    per_s: float
+    by_data_centre: Mapping[str, float]
+
+
+class TenantBucket:
+    """Tokens of one tenant.
+
+    Attributes:
+        tenant: The tenant.
+        limit: Its limit.
+        tokens: Tokens of the fleet; negative after requests that were not
+            heard of in time.
+        filled_at: Clock seconds up to which they are filled.
+        pace_tokens: Requests that this node may admit at once.
+        paced_at: Clock seconds up to which those are filled.
+        own: Demand at this node.
+        others: Demand at all other nodes.
+        by_data_centre: Demand by data centre, over a longer time.
+        known: Demand that all data centres know of.
+        latest: Demand that they will know of soon.
+        admitted: Requests admitted since the last report.
+        refused: Requests refused since the last report.
+        heard_share: Part of the rate that the parts of the fleet have which
+            are heard.
+        own_share: Part of the rate that this node has.
+        epoch: Epoch of the view by which the shares were computed.
+    """
+
+    __slots__ = (
+        "admitted",
+        "by_data_centre",
+        "epoch",
+        "filled_at",
+        "heard_share",
+        "known",
+        "latest",
+        "limit",
+        "others",
+        "own",
+        "own_share",
+        "pace_tokens",
+        "paced_at",
+        "refused",
+        "tenant",
+        "tokens",
+        "view",
+    )
+
+    def __init__(
+        self,
+        tenant: Tenant,
+        limit: Limit,
+        view: FleetView,
+        now: float,
+        tokens: float = 0.0,
+    ):
+        self.tenant = tenant
+        self.limit = limit
+        self.view = view
+        self.tokens = tokens
+        self.filled_at = now
+        self.pace_tokens = MIN_PACE_DEPTH
+        self.paced_at = now
+        self.own = Demand()
+        self.others = Demand()
+        self.by_data_centre: dict[str, Demand] = {}
+        self.admitted = 0
+        self.refused = 0
+        self.epoch = view.epoch
+        self.heard_share = 1.0
+        self.own_share = 0.0
+        self.known = self.latest = self._shares(now)
+        self._share(now)
+
+    @property
+    def name(self) -> str:
+        """Name of the tenant."""
+        return self.tenant.name
+
+    @property
+    def capacity(self) -> float:
+        """Tokens that the parts of the fleet which are heard may hold."""
+        return max(1.0, self.limit.capacity * self.heard_share)
+
+    @property
+    def is_low(self) -> bool:
+        """Whether the bucket is less than half full."""
+        return self.tokens < self.capacity / 2
+
+    @property
+    def pace_per_s(self) -> float:
+        """Requests a second that this node may admit."""
+        factor = 1.0 if self.is_low else EASY_PACE
+        return factor * self.own_share * self.limit.per_s
+
+    @property
+    def pace_depth(self) -> float:
+        """Requests that this node may admit at once."""
+        return max(
+            MIN_PACE_DEPTH, PACE_DEPTH_S * self.own_share * self.limit.per_s
+        )
+
+    def set_limit(self, tenant: Tenant, limit: Limit, now: float) -> None:
+        """Replaces the limit; a lower one takes tokens away at once."""
+        self.tenant = tenant
+        if limit == self.limit:
+            return
+        self.fill(now)
+        self.limit = limit
+        self.tokens = min(self.tokens, self.capacity)
+        self.pace_tokens = min(self.pace_tokens, self.pace_depth)
+
+    def fill(self, now: float) -> None:
+        """Adds the tokens that both gates have gained."""
+        before = self.heard_share
+        self._share(now)
+        least = min(before, self.heard_share)
+        if self.epoch != self.view.epoch:
+            self.epoch = self.view.epoch
+            self._fill_bucket(least, self.view.changed_at)
+            self._leave_tokens(before - self.heard_share, before)
+            least = self.heard_share
+        self._fill_bucket(least, now)
+        self._fill_pace(now)
+
+    def take(self, now: float) -> bool:
+        """Takes a token for a request of this node, if both gates have one."""
+        self.own.add(1, now)
+        self._ask(self.view.data_centre, 1, now)
+        self.fill(now)
+        if self.tokens < 1 or self.pace_tokens < 1:
+            self.refused += 1
+            return False
+        self.tokens -= 1
+        self.pace_tokens -= 1
+        self.admitted += 1
+        return True
+
+    def give_back(self) -> None:
+        """Returns the token of a request that reached no target."""
+        self.tokens = min(self.capacity, self.tokens + 1)
+        self.pace_tokens = min(self.pace_depth, self.pace_tokens + 1)
+        self.admitted -= 1
+
+    def hear(
+        self, data_centre: str, admitted: int, asked: int, now: float
+    ) -> None:
+        """Takes the tokens of requests that other nodes have admitted.
+
+        Args:
+            data_centre: Data centre of the nodes.
+            admitted: Requests that they admitted.
+            asked: Requests that they were asked for.
+            now: Clock seconds.
+        """
+        self.fill(now)
+        floor = -self.limit.capacity - self.limit.per_s
+        self.tokens = max(floor, min(self.capacity, self.tokens - admitted))
+        self.others.add(asked, now)
+        self._ask(data_centre, asked, now)
+
+    def wait_s(self, now: float) -> float:
+        """Returns the seconds until a request is likely to be admitted.
+
+        What is asked for beyond the rate takes its time as well.
+        """
+        per_s = self.limit.per_s
+        wait_s = max(
+            (1 - self.tokens) / (self.heard_share * per_s),
+            (1 - self.pace_tokens) / self.pace_per_s,
+        )
+        asked = self.own.per_s(now) + self.others.per_s(now)
+        return max(wait_s, asked / per_s - 1)
+
+    def _ask(self, data_centre: str, asked: int, now: float) -> None:
+        demand = self.by_data_centre.get(data_centre)
+        if demand is None:
+            demand = self.by_data_centre[data_centre] = Demand(LONG_AVERAGED_S)
+        demand.add(asked, now)
+
+    def _share(self, now: float) -> None:
+        """Computes the parts of the rate by the demand that is known."""
+        view = self.view
+        even = EVEN_PART * self.limit.per_s
+        own = self.own.per_s(now) + even / view.total_nodes
+        own /= self.own.per_s(now) + self.others.per_s(now) + even
+        self.heard_share = 1.0
+        if view.is_whole:
+            if now - self.latest.at > SETTLED_S:
+                self.known, self.latest = self.latest, self._shares(now)
+        else:
+            self.heard_share = self._heard_share()
+        if view.data_centre in view.silent:
+            own = 1.0
+        self.own_share = own * self.heard_share
+
+    def _heard_share(self) -> float:
+        view = self.view
+        heard = 0.0
+        for data_centre, share in self.known.by_data_centre.items():
+            if data_centre not in view.silent:
+                heard += share * (1 - view.missing.get(data_centre, 0.0))
+            elif data_centre == view.data_centre:
+                heard += share / max(1, view.nodes.get(data_centre, 1))
+        return max(MIN_SHARE, heard)
+
+    def _shares(self, now: float) -> _Shares:
+        even = EVEN_PART * self.limit.per_s / self.view.total_nodes
+        demands = {}
+        for data_centre, nodes in self.view.nodes.items():
+            demand = self.by_data_centre.get(data_centre)
+            per_s = 0.0 if demand is None else demand.per_s(now)
+            demands[data_centre] = per_s + even * nodes
+        total = sum(demands.values())
+        return _Shares(
+            at=now,
+            per_s=total,
+            by_data_centre={
+                name: per_s / total for name, per_s in demands.items()
+            },
+        )
+
+    def _leave_tokens(self, lost: float, before: float) -> None:
+        """Leaves tokens to parts of the fleet that have become silent.
+
+        Args:
+            lost: Their part of the rate; negative if some are heard again.
+            before: Part of the rate of those that were heard before.
+        """
+        if lost <= 0:
+            return
+        used_per_s = min(self.limit.per_s, self.known.per_s)
+        self.tokens -= used_per_s * lost * SILENCE_S
+        if self.tokens > 0:
+            self.tokens *= self.heard_share / before
+
+    def _fill_bucket(self, share: float, now: float) -> None:
+        since = max(self.filled_at, self.view.resumed_at)
+        self.filled_at = max(self.filled_at, now)
+        if now > since:
+            self.tokens += self.limit.per_s * share * (now - since)
+        self.tokens = min(self.tokens, self.capacity)
+
+    def _fill_pace(self, now: float) -> None:
+        since = max(self.paced_at, self.view.resumed_at)
+        self.paced_at = now
+        if now > since:
+            self.pace_tokens += self.pace_per_s * (now - since)
+        self.pace_tokens = min(self.pace_tokens, self.pace_depth)
--- /dev/null
+++ b/src/fulmarrudder/quotas/collector.py
@@ -0,0 +1,107 @@
+"""Filter: reports of many nodes to the sums that all nodes are told."""
+
+import dataclasses
+
+from fulmarrudder.quotas.counts import add_counts, flat_counts
+from fulmarrudder.quotas.fleet import SILENCE_S
+from fulmarrudder.quotas.message import QuotaReport, QuotaSum, QuotaUse
+
+# Time after which a node that is not heard is taken to be gone.
+FORGET_S = 30.0
+
+
+@dataclasses.dataclass(slots=True)
+class _Sum:
+    """Counts of one data centre since they were last told."""
+
+    counts: dict[int, tuple[int, int]] = dataclasses.field(default_factory=dict)
+    missing: float = 0.0
+
+    def take(self, data_centre: str) -> QuotaSum:
+        taken = QuotaSum(
+            data_centre=data_centre,
+            counts=flat_counts(self.counts),
+            missing=self.missing,
+        )
+        self.counts = {}
+        return taken
+
+
+class QuotaCollector:
+    """Adds up the reports of nodes, and what is heard of other data centres.
+
+    Attributes:
+        data_centre: Data centre of the collector.
+        own: Counts of the nodes that report to it.
+        afar: Counts of each other data centre that it was told since the last
+            message.
+        included: Latest report of each node since the last message.
+        heard_at: Clock seconds of the latest report of each node.
+        pressing: Whether what it has heard since is pressing.
+    """
+
+    def __init__(self, data_centre: str):
+        self.data_centre = data_centre
+        self.own = _Sum()
+        self.afar: dict[str, _Sum] = {}
+        self.included: dict[str, int] = {}
+        self.heard_at: dict[str, float] = {}
+        self.pressing = False
+
+    def add(self, node: str, report: QuotaReport, now: float) -> None:
+        """Adds the report of a node of this data centre."""
+        self.heard_at[node] = now
+        if not report.counts:
+            return
+        add_counts(self.own.counts, report.counts)
+        self.included[node] = report.number
+        self.pressing |= report.pressing
+
+    def add_afar(self, use: QuotaUse) -> None:
+        """Adds what a collector of another data centre tells of it."""
+        for told in use.sums:
+            total = self.afar.setdefault(told.data_centre, _Sum())
+            add_counts(total.counts, told.counts)
+            total.missing = told.missing
+        self.pressing |= use.pressing
+
+    def discard(self, node: str) -> None:
+        """Forgets a node that reports to another collector."""
+        self.heard_at.pop(node, None)
+
+    def take(self, now: float, nodes: int, *, is_alone: bool) -> QuotaUse:
+        """Returns what is to be told, and begins anew.
+
+        Args:
+            now: Clock seconds.
+            nodes: Number of known nodes of this data centre.
+            is_alone: Whether it hears no other collector there, so that all
+                nodes should report to it.
+        """
+        heard, missing = self._count_nodes(now)
+        if is_alone:
+            missing = max(0, nodes - heard)
+        self.own.missing = round(min(1.0, missing / max(1, nodes)), 3)
+        use = QuotaUse(
+            sums=(
+                self.own.take(self.data_centre),
+                *(total.take(name) for name, total in self.afar.items()),
+            ),
+            included=tuple(self.included.items()),
+            pressing=self.pressing,
+        )
+        self.afar = {}
+        self.included = {}
+        self.pressing = False
+        return use
+
+    def _count_nodes(self, now: float) -> tuple[int, int]:
+        """Returns how many nodes are heard, and how many no longer are."""
+        heard = missing = 0
+        for node, heard_at in tuple(self.heard_at.items()):
+            age_s = now - heard_at
+            heard += age_s <= SILENCE_S
+            missing += SILENCE_S < age_s <= FORGET_S
+            if age_s > FORGET_S:
+                del self.heard_at[node]
+        return heard, missing
--- /dev/null
+++ b/src/fulmarrudder/quotas/counts.py
@@ -0,0 +1,36 @@
+"""Counts of requests by tenant, as nodes tell them to each other."""
+
+import hashlib
+from collections.abc import Iterable, Iterator, Mapping
+
+TENANT_ID_BYTES = 4
+
+# Requests admitted and refused, by tenant id.
+Counts = Mapping[int, tuple[int, int]]
+
+
+def tenant_id(name: str) -> int:
+    """Returns the number by which links name a tenant."""
+    digest = hashlib.blake2b(name.encode(), digest_size=TENANT_ID_BYTES)
+    return int.from_bytes(digest.digest())
+
+
+def flat_counts(counts: Counts) -> tuple[int, ...]:
+    """Returns counts as a flat sequence of id, admitted and refused."""
+    flat = []
+    for tenant, (admitted, refused) in counts.items():
+        flat += (tenant, admitted, refused)
+    return tuple(flat)
+
+
+def counts_of(flat: tuple[int, ...]) -> Iterator[tuple[int, int, int]]:
+    """Returns id, admitted and refused of each tenant of a flat sequence."""
+    fields = iter(flat)
+    return zip(fields, fields, fields, strict=False)
+
+
+def add_counts(total: dict[int, tuple[int, int]], flat: Iterable[int]) -> None:
+    """Adds counts to a sum."""
+    for tenant, admitted, refused in counts_of(flat):
+        before = total.get(tenant, (0, 0))
+        total[tenant] = (before[0] + admitted, before[1] + refused)
--- /dev/null
+++ b/src/fulmarrudder/quotas/fleet.py
@@ -0,0 +1,107 @@
+"""Which parts of the fleet a node hears of, and when it last heard of them."""
+
+import math
+from collections.abc import Mapping
+
+# A part of the fleet that is not heard for this long is silent.
+SILENCE_S = 1.2
+# A node whose clock jumps by more than this between two beats has been paused.
+PAUSE_S = 1.0
+# Time for what has arrived during a pause to be read.
+CATCH_UP_S = 0.3
+
+
+class FleetView:
+    """The data centres of the fleet as one node hears them.
+
+    Attributes:
+        data_centre: Data centre of the node.
+        nodes: Number of known nodes by data centre, this one included.
+        total_nodes: Their sum, at least 1.
+        heard_at: Clock seconds at which each data centre was last heard.
+        counted_from: Clock seconds from which counts of a data centre are
+            taken; those that were held back while it was silent, or this node
+            paused, have been reckoned with.
+        missing: Part of each data centre's nodes that its collectors do not
+            hear.
+        silent: Data centres that are silent.
+        epoch: Rises when `silent` or `missing` changes.
+        changed_at: Clock seconds at which it last rose.
+        resumed_at: Clock seconds at which the node last started or woke.
+        beat_at: Clock seconds of the latest beat.
+    """
+
+    def __init__(self, data_centre: str, now: float):
+        self.data_centre = data_centre
+        self.nodes: Mapping[str, int] = {data_centre: 1}
+        self.total_nodes = 1
+        self.heard_at: dict[str, float] = {}
+        self.counted_from: dict[str, float] = {}
+        self.missing: dict[str, float] = {}
+        self.silent: frozenset[str] = frozenset((data_centre,))
+        self.epoch = 0
+        self.changed_at = now
+        self.resumed_at = now
+        self.beat_at = now
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether every part of the fleet is heard."""
+        return not self.silent and not self.missing
+
+    def set_nodes(self, nodes: Mapping[str, int], now: float) -> None:
+        """Sets the number of known nodes by data centre, this one included."""
+        if nodes == self.nodes:
+            return
+        self.nodes = nodes
+        self.total_nodes = max(1, sum(nodes.values()))
+        self._find_silent(now)
+
+    def hear(self, data_centre: str, missing: float, now: float) -> None:
+        """Records that a data centre was heard.
+
+        Args:
+            data_centre: The data centre.
+            missing: Part of its nodes that are not heard there.
+            now: Clock seconds.
+        """
+        self.heard_at[data_centre] = now
+        if data_centre in self.silent:
+            self.counted_from[data_centre] = now + CATCH_UP_S
+            self._find_silent(now)
+        if missing == self.missing.get(data_centre, 0.0):
+            return
+        self.missing[data_centre] = missing
+        if not missing:
+            del self.missing[data_centre]
+        self._change(now)
+
+    def beat(self, now: float) -> None:
+        """Finds the data centres that have become silent, and pauses."""
+        if now - self.beat_at > PAUSE_S:
+            self.resumed_at = now
+            earliest = now - SILENCE_S + CATCH_UP_S
+            for data_centre, heard_at in self.heard_at.items():
+                if data_centre not in self.silent:
+                    self.heard_at[data_centre] = max(heard_at, earliest)
+                self.counted_from[data_centre] = now + CATCH_UP_S
+        self.beat_at = now
+        self._find_silent(now)
+
+    def last_heard(self, data_centre: str) -> float:
+        """Returns when a data centre was last heard, in clock seconds."""
+        return self.heard_at.get(data_centre, -math.inf)
+
+    def _find_silent(self, now: float) -> None:
+        silent = frozenset(
+            data_centre
+            for data_centre in self.nodes
+            if now - self.last_heard(data_centre) > SILENCE_S
+        )
+        if silent != self.silent:
+            self.silent = silent
+            self._change(now)
+
+    def _change(self, now: float) -> None:
+        self.epoch += 1
+        self.changed_at = now
--- /dev/null
+++ b/tests/quotas/fleet.py
@@ -0,0 +1,202 @@
+"""Nodes of a fleet that tell each other what they admit, on a fake clock."""
+
+import collections
+import random
+
+from twisted.internet.task import Clock
+
+from fulmarrudder.distribution.codec import decode, encode
+from fulmarrudder.distribution.quota_exchange import (
+    QUOTA_PROTOCOL,
+    QuotaExchange,
+)
+from fulmarrudder.distribution.topology import Peer, topology_of
+from fulmarrudder.model import Tenant
+from fulmarrudder.quotas import FleetQuotas, QuotaBounds
+
+BOUNDS = QuotaBounds()
+LATENCY_S = 0.01
+STEP_S = 0.02
+REQUESTS_AT_WAKE = 5
+
+
+def tenant_of(per_s, burst=None, name="acme"):
+    """Returns a tenant with a limit; its burst is a second's requests."""
+    return Tenant(
+        name=name,
+        keys=(),
+        requests_per_s=per_s,
+        burst=per_s if burst is None else burst,
+    )
+
+
+class OpenLink:
+    """One side of a link; what is sent over a cut waits for its end."""
+
+    protocol = QUOTA_PROTOCOL
+
+    def __init__(self, fleet, owner, peer):
+        self.fleet = fleet
+        self.owner = owner
+        self.node = peer
+        self.data_centre = peer[0]
+
+    def send(self, message):
+        self.send_encoded(encode(message))
+
+    def send_encoded(self, data):
+        self.fleet.bytes[self.owner] += len(data)
+        self.fleet.clock.callLater(
+            LATENCY_S, self.fleet.deliver, self.owner, self.node, data
+        )
+
+
+class Fleet:
+    """A fleet of linked nodes; the first letter of a node is its data centre.
+
+    Attributes:
+        admitted: Time and tenant of each request that was admitted.
+        refused: Number of requests refused, by tenant.
+        cut: Data centres and nodes that reach no others.
+        paused: Nodes that do not run, with what awaits them.
+    """
+
+    def __init__(self, tenants, data_centres="abcd", size=3, seed=1):
+        self.clock = Clock()
+        self.rng = random.Random(seed)
+        self.names = [
+            f"{data_centre}{index:03}"
+            for data_centre in data_centres
+            for index in range(size)
+        ]
+        self.peers = {
+            name: Peer(node=name, data_centre=name[0], mesh_address=name)
+            for name in self.names
+        }
+        self.tenants = {tenant.name: tenant for tenant in tenants}
+        self.nodes = {}
+        self.admitted = []
+        self.refused = collections.Counter()
+        self.bytes = collections.Counter()
+        self.cut = set()
+        self.held = []
+        self.paused = {}
+        self.due = collections.Counter()
+        for name in self.names:
+            self.start(name)
+
+    def start(self, name):
+        """Starts a node, or starts it again."""
+        self.paused.pop(name, None)
+        if name in self.nodes:
+            self.nodes[name].halt()
+        now = self.clock.seconds()
+        peer = self.peers[name]
+        topology = topology_of(
+            peer, [p for p in self.peers.values() if p.node != name]
+        )
+        quotas = FleetQuotas(name, peer.data_centre, now, BOUNDS)
+        quotas.view.set_nodes(collections.Counter(n[0] for n in self.names), 0)
+        quotas.set_tenants(self.tenants.values(), now)
+        exchange = QuotaExchange(
+            clock=self.clock,
+            node=name,
+            quotas=quotas,
+            topology=lambda: topology,
+            links={
+                other: OpenLink(self, name, other)
+                for other in topology.neighbours
+            },
+        )
+        exchange.start()
+        self.nodes[name] = exchange
+
+    def limit(self, tenant):
+        """Puts another limit of a tenant in force."""
+        self.tenants[tenant.name] = tenant
+        for exchange in self.nodes.values():
+            exchange.quotas.set_tenants(
+                self.tenants.values(), self.clock.seconds()
+            )
+
+    def deliver(self, sender, receiver, data):
+        """Delivers a message, or holds it back during a cut or a pause."""
+        if receiver in self.paused:
+            self.paused[receiver].append((sender, receiver, data))
+        elif self.is_cut(sender, receiver):
+            self.held.append((sender, receiver, data))
+        else:
+            link = OpenLink(self, receiver, sender)
+            self.nodes[receiver].receive(decode(data).ok, link)
+
+    def is_cut(self, one, other):
+        return any(
+            (part == one[: len(part)]) != (part == other[: len(part)])
+            for part in self.cut
+        )
+
+    def heal(self):
+        """Ends all cuts."""
+        self.cut.clear()
+        held, self.held = self.held, []
+        for message in held:
+            self.deliver(*message)
+
+    def pause(self, name):
+        """Stops a node as a whole; its timers are late."""
+        self.paused.setdefault(name, [])
+        self.nodes[name].halt()
+
+    def wake(self, name):
+        """Lets a paused node go on; requests have waited for it."""
+        messages = self.paused.pop(name)
+        for tenant in self.tenants:
+            for _ in range(REQUESTS_AT_WAKE):
+                self.ask(tenant, name)
+        self.nodes[name].start()
+        for message in messages:
+            self.deliver(*message)
+
+    def run(self, seconds, demand, *, tenant="acme", nodes=None):
+        """Runs the fleet under a demand.
+
+        Args:
+            seconds: For how long.
+            demand: Requests a second of a tenant.
+            tenant: Its name.
+            nodes: Nodes that get them; all by default.
+        """
+        nodes = nodes or self.names
+        for _ in range(round(seconds / STEP_S)):
+            self.clock.advance(STEP_S)
+            self.due[tenant] += demand * STEP_S
+            while self.due[tenant] >= 1:
+                self.due[tenant] -= 1
+                self.ask(tenant, self.rng.choice(nodes))
+
+    def ask(self, tenant, node):
+        """Asks a node for one request; a paused one gets none."""
+        if node in self.paused:
+            return
+        now = self.clock.seconds()
+        refusal = self.nodes[node].quotas.admit(self.tenants[tenant], now)
+        if refusal is None:
+            self.admitted.append((now, tenant))
+        else:
+            self.refused[tenant] += 1
+
+    def excess(self, tenant="acme", since=0.0):
+        """Returns by how much a tenant exceeds its bound at most."""
+        limit = self.tenants[tenant]
+        bound = limit.requests_per_s * BOUNDS.window_s + limit.burst
+        bound = bound * (1 + BOUNDS.excess) + BOUNDS.slack
+        window = collections.deque()
+        worst = -bound
+        for at, name in self.admitted:
+            if name != tenant or at < since:
+                continue
+            window.append(at)
+            while window[0] <= at - BOUNDS.window_s:
+                window.popleft()
+            worst = max(worst, len(window) - bound)
+        return worst
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -57,6 +57,7 @@
     Status,
     Undecided,
 )
+from fulmarrudder.quotas import QuotaReport, QuotaSum, QuotaUse
 from fulmarrudder.state_machine import Move, Phase, State
 from fulmarrudder.state_machine.state import CurrentVersion, Duty
 
@@ -291,6 +292,15 @@
             SourceRecord(key="rollout/caja", value=None, offset=7),
         ),
     ),
+    QuotaReport(number=7, counts=(4_000_000_000, 3, 0, 17, -1, 2)),
+    QuotaUse(
+        sums=(
+            QuotaSum(data_centre="lima-1", counts=(17, 5, 1), missing=0.125),
+            QuotaSum(data_centre="lima-2"),
+        ),
+        included=(("n1", 7),),
+        pressing=True,
+    ),
 )
 ANSWERS = (
     Status(
