Requests beyond the quota of their tenant get 429; settings and metrics for it

Cause: the buckets of the fleet were not asked.

Change: the entry node asks for a token once a request has its tenant and its plan; a request that is refused later without having reached a target gives it back. A version in force tells the limits, the settings how exactly they are kept (quotaWindow, quotaExcess, quotaSlack). Refusals are logged at a limited rate, and metrics name the five tenants that are refused most.

--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -123,6 +123,15 @@
     return routed
 
 
+def _admit_all(call: Call) -> Refusal | None:
+    """Admits a call where there are no quotas."""
+    return None
+
+
+def _refund_nothing(call: Call) -> None:
+    """Is told of a call that reached no target where there are no quotas."""
+
+
 class EntryPipeline:
     """Serves callers: routes calls, retries them and returns answers.
 
@@ -139,6 +148,8 @@
         start_gate: Holds calls while the node starts.
         version_gate: Holds calls whose key a later version may hold.
         identify: Filter that finds the tenant of a routed request.
+        admit: Filter that refuses calls beyond the quota of their tenant.
+        refund: Is told of an admitted call that reached no target.
         stop_deadline: Clock seconds by which every call is answered, as the
             node stops then; infinite while it does not stop.
     """
@@ -186,6 +197,8 @@
         self.start_gate = StartGate(clock)
         self.version_gate = StartGate(clock, until=math.inf)
         self.identify = _without_tenant
+        self.admit: Callable[[Call], Refusal | None] = _admit_all
+        self.refund: Callable[[Call], None] = _refund_nothing
         self.stop_deadline = math.inf
         self.steps = (
             sanitize_request,
@@ -235,10 +248,20 @@
         if isinstance(call, Refusal):
             return refusal_answer(call)
         call.deadline = min(call.deadline, self.stop_deadline)
+        beyond_quota = self.admit(call)
+        if beyond_quota is not None:
+            return refusal_answer(beyond_quota)
+        answer = await self._serve_admitted(call)
+        if answer.refusal is not None and not call.target_attempts:
+            self.refund(call)
+        return answer
+
+    async def _serve_admitted(self, call: Call) -> Answer:
+        body = call.body
         await self.start_gate.hold(
             lambda: bool(self.facts.endpoints_of(call.service))
         )
-        send_continue()
+        call.send_continue()
         prefix = b""
         if not body.ended:
             waiting = body.wait_for_prefix(FINGERPRINT_BODY_BYTES)
--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -41,6 +41,7 @@
     UpToDate,
 )
 from fulmarrudder.distribution.outbox import Outbox
+from fulmarrudder.distribution.quota_exchange import QuotaExchange
 from fulmarrudder.distribution.spread import (
     Hop,
     is_forwarded,
@@ -51,6 +52,7 @@
     Peer,
     Topology,
     collector_of,
+    count_nodes,
     topology_of,
 )
 from fulmarrudder.log import Backoff
@@ -63,6 +65,7 @@
 )
 from fulmarrudder.model import Condition, Evidence, Fact, Presence, key_of
 from fulmarrudder.observe import Metrics, logs
+from fulmarrudder.quotas import FleetQuotas, QuotaReport, QuotaUse
 
 # Time to reconnect before a node whose link broke is declared lost.
 SUSPECT_TIMEOUT_S = 3.0
@@ -128,6 +131,7 @@
         topology: The fleet as this node sees it.
         reporter: Reports this node's evidence to its collector.
         collector: Adds up the evidence that is reported to this node.
+        quota_exchange: Tells other nodes what this one admits of tenants.
     """
 
     def __init__(
@@ -153,6 +157,7 @@
         on_source_update: Callable[[SourceUpdate], None] = ignore,
         on_change: Callable[[ConfigChange], None] = ignore,
         link_bytes_per_s: float = math.inf,
+        quotas: FleetQuotas | None = None,
     ):
         self.clock = clock
         self.rng = rng
@@ -191,6 +196,15 @@
             incarnation=incarnation,
             broadcast=lambda evidence: self._merge(evidence, None),
         )
+        if quotas is None:
+            quotas = FleetQuotas(node, data_centre, clock.seconds())
+        self.quota_exchange = QuotaExchange(
+            clock=clock,
+            node=node,
+            quotas=quotas,
+            topology=lambda: self.topology,
+            links=self.links,
+        )
         self.outbox = Outbox(clock, dialer.guard, self._lacks)
         self.documents = DocumentExchange(
             clock=clock,
@@ -233,6 +247,9 @@
             mesh_address=self.mesh_address,
         )
         self.topology = topology = topology_of(me, peers.values())
+        self.quota_exchange.quotas.view.set_nodes(
+            count_nodes((me, *peers.values())), self.clock.seconds()
+        )
         neighbour_ids = topology.neighbours
         self.reporter.interval_s = report_interval_s(
             topology.local_nodes / len(topology.local_gateways)
@@ -309,6 +326,7 @@
     def stop(self) -> None:
         """Sends what waits and closes all links; opens no more links."""
         self.collector.flush()
+        self.quota_exchange.stop()
         self.flush()
         self.stopped = True
         for link in tuple(self.links.values()):
@@ -546,6 +564,14 @@
     def _(self, message: ConfigChange, link: Link) -> None:
         self.on_change(message)
 
+    @_handle.register
+    def _(self, message: QuotaReport, link: Link) -> None:
+        self.quota_exchange.receive(message, link)
+
+    @_handle.register
+    def _(self, message: QuotaUse, link: Link) -> None:
+        self.quota_exchange.receive(message, link)
+
     def _has_right_direction(self, link: Link) -> bool:
         """Returns whether the node with the lower id dialled the link."""
         return link.dialled == (self.node < link.node)
--- a/src/fulmarrudder/distribution/topology.py
+++ b/src/fulmarrudder/distribution/topology.py
@@ -5,6 +5,7 @@
 centres on two links.
 """
 
+import collections
 import dataclasses
 import itertools
 from collections.abc import Container, Iterable
@@ -74,6 +75,11 @@
     )
 
 
+def count_nodes(peers: Iterable[Peer]) -> dict[str, int]:
+    """Returns the number of nodes by data centre, lost ones included."""
+    return dict(collections.Counter(peer.data_centre for peer in peers))
+
+
 def collector_of(node: str, topology: Topology, linked: Container[str]) -> str:
     """Returns the id of the node that adds up the evidence of a node.
 
--- a/src/fulmarrudder/node/gauges.py
+++ b/src/fulmarrudder/node/gauges.py
@@ -2,6 +2,10 @@
 
 from fulmarrudder.model import Condition
 from fulmarrudder.observe import Sample, logs
+from fulmarrudder.quotas import FleetQuotas
+
+# Tenants that are named in metrics, those that are refused most.
+NAMED_TENANTS = 5
 
 
 def call_gauges(node) -> tuple[Sample, ...]:
@@ -48,3 +52,23 @@
         )
         for role, value in counts.items()
     )
+
+
+def quota_gauges(quotas: FleetQuotas) -> tuple[Sample, ...]:
+    """Returns the values of gauges about quotas; none without limits."""
+    if not quotas.has_limits:
+        return ()
+    silent = Sample(
+        name="fulmarrudder_quota_silent_data_centres",
+        labels=(),
+        value=len(quotas.view.silent),
+    )
+    refused = (
+        Sample(
+            name="fulmarrudder_quota_refused",
+            labels=(("tenant", tenant),),
+            value=requests,
+        )
+        for tenant, requests in quotas.refusals.most_common(NAMED_TENANTS)
+    )
+    return (silent, *refused)
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -50,11 +50,13 @@
     MoveResult,
     RecordedMove,
 )
-from fulmarrudder.node.gauges import call_gauges
+from fulmarrudder.node.gauges import call_gauges, quota_gauges
 from fulmarrudder.node.move_executor import ControllerLease, MoveExecutor
 from fulmarrudder.node.presence import PresenceBroadcaster
 from fulmarrudder.node.supervisor import Supervisor, ignore
 from fulmarrudder.observe import EventLog, Metrics, Sample, Spans, logs
+from fulmarrudder.quotas import FleetQuotas, QuotaBounds
+from fulmarrudder.quotas.gate import QuotaGate
 from fulmarrudder.state_machine import OPEN_PHASES, CurrentVersion, Move, State
 from fulmarrudder.tenants import Credentials, Identifier, KeyTable
 
@@ -91,6 +93,7 @@
         retry_slack: Retries that the fleet may make beyond that ratio.
         link_bytes_per_s: Speed of the instance's network link.
         credentials: What is demanded of a node that may be behind.
+        quota_bounds: How exactly the quotas of tenants are to be kept.
     """
 
     node: str
@@ -102,6 +105,7 @@
     retry_slack: float
     link_bytes_per_s: float = math.inf
     credentials: Credentials = Credentials()
+    quota_bounds: QuotaBounds = QuotaBounds()
 
 
 def _keep_nowhere(departed: DepartedTarget) -> Deferred:
@@ -126,6 +130,7 @@
         entry: Pipeline of requests from callers.
         host: Pipeline of requests to the local target.
         identifier: Finds the tenants of requests.
+        quotas: Decides which requests are beyond the quotas of tenants.
         gossip: Links to other nodes.
         render_document: Puts the active configuration together as a document;
             None before the first one.
@@ -229,6 +234,12 @@
         self.discovery_deadline = reactor.seconds() + DISCOVERY_TIMEOUT_S
         if not is_first_start:
             self.local_target.unconfirmed_until = self.discovery_deadline
+        self.quotas = FleetQuotas(
+            settings.node,
+            settings.data_centre,
+            reactor.seconds(),
+            settings.quota_bounds,
+        )
         self.gossip = Gossip(
             clock=reactor,
             rng=rng,
@@ -250,6 +261,7 @@
             on_source_update=on_source_update,
             on_change=on_change,
             link_bytes_per_s=settings.link_bytes_per_s,
+            quotas=self.quotas,
         )
         self.host = HostPipeline(
             clock=reactor,
@@ -285,6 +297,9 @@
         )
         self.identifier.credentials = settings.credentials
         self.entry.identify = self.identifier.identify
+        gate = QuotaGate(reactor, self.quotas, self.events)
+        self.entry.admit = gate.admit
+        self.entry.refund = gate.refund
         self.calls = CallFactory(
             clock=reactor,
             entry=self.entry,
@@ -409,6 +424,8 @@
         self.identifier.keys = keys
         self.calls.limits = arrangement.limits
         now = self.clock.seconds()
+        self.quotas.set_tenants(arrangement.tenants, now)
+        self.gossip.quota_exchange.start()
         logs.info(
             "in-force",
             version=version,
@@ -637,7 +654,7 @@
             Sample(name=name, labels=(), value=value)
             for name, value in values.items()
         )
-        return (*samples, *call_gauges(self))
+        return (*samples, *call_gauges(self), *quota_gauges(self.quotas))
 
     def leave(self) -> None:
         """Starts to leave: accepts no new requests for the local target."""
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -46,6 +46,7 @@
 )
 from fulmarrudder.platform.store import RecordBatch, StoreClient
 from fulmarrudder.platform.tail import Tail
+from fulmarrudder.quotas import QuotaBounds
 from fulmarrudder.reactor import install_reactor
 from fulmarrudder.tenants import Credentials
 
@@ -302,6 +303,9 @@
         self.settings = settings
         self.node.settings = _node_settings_of(settings)
         self.node.identifier.credentials = self.node.settings.credentials
+        self.node.quotas.set_bounds(
+            self.node.settings.quota_bounds, self.reactor.seconds()
+        )
         logs.setup(settings.log_level, node=settings.node)
         logs.info("reloaded", service=settings.service)
 
@@ -385,6 +389,11 @@
         credentials=Credentials(
             fail_closed=settings.fail_closed, unconfirmed_s=settings.revoke_s
         ),
+        quota_bounds=QuotaBounds(
+            window_s=settings.quota_window_s,
+            excess=settings.quota_excess,
+            slack=settings.quota_slack,
+        ),
     )
 
 
--- a/src/fulmarrudder/platform/settings.py
+++ b/src/fulmarrudder/platform/settings.py
@@ -40,6 +40,11 @@
     retry_slack: float = pydantic.Field(50.0, alias="budgetSlack")
     fail_closed: bool = pydantic.Field(False, alias="revokeFailClosed")
     revoke: Milliseconds = 5_000.0
+    quota_window: Milliseconds = pydantic.Field(
+        5_000.0, alias="quotaWindow", gt=0
+    )
+    quota_excess: float = pydantic.Field(0.1, alias="quotaExcess", ge=0)
+    quota_slack: float = pydantic.Field(20.0, alias="quotaSlack", ge=0)
 
 
 class _Limits(PlatformModel):
@@ -98,6 +103,9 @@
         fail_closed: Whether requests that need a key are refused while the
             configuration is not confirmed.
         revoke_s: Seconds without a confirmation after which that is so.
+        quota_window_s: Seconds over which a tenant's requests are counted.
+        quota_excess: Part by which a tenant may exceed its quota in that time.
+        quota_slack: Requests by which it may exceed its quota in that time.
     """
 
     node: str
@@ -121,6 +129,9 @@
     first_start: bool = True
     fail_closed: bool = False
     revoke_s: float = 5.0
+    quota_window_s: float = 5.0
+    quota_excess: float = 0.1
+    quota_slack: float = 20.0
 
 
 def parse_machine_settings(text: str) -> Result[MachineSettings, SettingsError]:
@@ -162,6 +173,9 @@
             first_start=model.bootstrap,
             fail_closed=model.bounds.fail_closed,
             revoke_s=model.bounds.revoke / 1000,
+            quota_window_s=model.bounds.quota_window / 1000,
+            quota_excess=model.bounds.quota_excess,
+            quota_slack=model.bounds.quota_slack,
         )
     )
 
