Tenants take turns in the queue of a target

Cause: within a priority the queue was ordered by deadline only, so that a tenant that sends many times its usual filled it, and others got "queue is full".

Change: call/fairness.py gives each waiting request a turn; within a rank lower turns come first, then earlier soft deadlines. A full queue refuses the last request of a tenant that is two turns further on in place of a newcomer's. Only where a configuration has tenants; requests without one wait for no tenant's.

--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -138,6 +138,7 @@
         report: Reports decisions as events.
         retry_budgets: Retry budgets of this node.
         intake: Limits the bodies that other nodes send at once.
+        has_tenants: Whether requests tell a tenant that their entry node found.
         advice: Applies what the target tells of itself in its answers.
     """
 
@@ -168,6 +169,7 @@
         self.tallies = Tallies()
         self.claims: dict[str, Claims] = {}
         self.leaving = False
+        self.has_tenants = False
         self.in_flight = 0
         self.retry_budgets = RetryBudgets()
         self.intake = Intake(clock, link_bytes_per_s)
@@ -220,6 +222,7 @@
             rank=request.rank,
             route=request.route,
             spill_deadline=request.spill_deadline,
+            tenant=self._tenant_of(request.head),
         )
         asked_at = self.clock.seconds()
         granted = self.slots.acquire(request.deadline, slot_request)
@@ -248,6 +251,11 @@
         finally:
             slot_use.release_if_unused()
 
+    def _tenant_of(self, head: RequestHead) -> bytes | None:
+        if not self.has_tenants:
+            return None
+        return head.headers.get(self.header_names.tenant)
+
     def _overload_refusal(self, request: HostRequest, detail: str) -> Refusal:
         reason = RefusalReason.OVERLOADED
         if request.spill_deadline:
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -1,8 +1,8 @@
 """Admission to the local target: slots and a priority queue.
 
 A request is admitted only if it is likely to finish in time. Otherwise it is
-refused at once, with a time after which to retry. Within a rank, the queue is
-ordered by soft deadline.
+refused at once, with a time after which to retry. Within a rank, tenants take
+turns, and requests of the same turn are ordered by soft deadline.
 """
 
 import dataclasses
@@ -12,6 +12,7 @@
 from twisted.internet.defer import Deferred, fail, succeed
 
 from fulmarrudder.call.errors import SlotError
+from fulmarrudder.call.fairness import TenantTurns
 from fulmarrudder.call.rate import RateLimit
 from fulmarrudder.clock import Clock
 
@@ -60,6 +61,7 @@
         spill_deadline: Clock seconds after which the request should spill
             over to another target that may have a free slot; 0 when there is
             none.
+        tenant: Name of the tenant, or None.
     """
 
     deadline: float
@@ -67,6 +69,7 @@
     rank: int = 0
     route: str = ""
     spill_deadline: float = 0.0
+    tenant: bytes | None = None
 
 
 def likely_late(
@@ -91,6 +94,7 @@
 
     granted: Deferred
     request: SlotRequest
+    turn: int
     timer: object = None
     is_waiting: bool = True
 
@@ -107,6 +111,7 @@
         service_time_by_route: The same, by route.
         rate: Limit on the requests a second that are granted slots.
         rate_timer: Grants slots once the rate allows it, or None.
+        turns: Turns of the tenants whose requests wait.
         is_granting: Whether free slots are being granted to queued requests.
     """
 
@@ -117,7 +122,8 @@
         self.queued = 0
         self.service_time_s = DEFAULT_SERVICE_TIME_S
         self.service_time_by_route: dict[str, float] = {}
-        self.heap: list[tuple[int, bool, float, int, _Waiter]] = []
+        self.heap: list[tuple[int, bool, int, float, int, _Waiter]] = []
+        self.turns = TenantTurns()
         self.sequence = itertools.count()
         self.rate = RateLimit()
         self.rate_timer = None
@@ -137,10 +143,19 @@
         self.rate.set(requests_per_s, self.clock.seconds())
         self._grant()
 
-    def expected_wait(self, rank: int) -> float:
-        """Returns the seconds that a request of a rank is expected to wait."""
+    def expected_wait(self, rank: int, tenant: bytes | None = None) -> float:
+        """Returns the seconds that a request is expected to wait.
+
+        Args:
+            rank: Its rank.
+            tenant: Its tenant, or None.
+        """
+        turn = self.turns.next_turn(tenant)
         queued_ahead = sum(
-            1 for e in self.heap if e[-1].is_waiting and e[0] <= rank
+            1
+            for e in self.heap
+            if e[-1].is_waiting
+            and (e[0] < rank or (e[0] == rank and e[2] <= turn))
         )
         rate_wait_s = self.rate.wait_s(self.clock.seconds(), queued_ahead)
         return max(rate_wait_s, self._slot_wait(queued_ahead))
@@ -194,8 +209,9 @@
         if request.deadline <= now:
             return "no time left"
         if self.queued >= self.capacity * MAX_QUEUE_PER_SLOT:
-            return "queue is full"
-        wait_s = self.expected_wait(request.rank)
+            if not self._make_room(request):
+                return "queue is full"
+        wait_s = self.expected_wait(request.rank, request.tenant)
         service_time_s = self.service_time(request.route)
         is_long = wait_s > MAX_SPILL_WAIT_FACTOR * self.service_time_s
         if (
@@ -215,6 +231,25 @@
             return "queue is too long to be prompt"
         return ""
 
+    def _make_room(self, request: SlotRequest) -> bool:
+        """Refuses a waiting request of a tenant that has more of them.
+
+        Returns:
+            Whether there was one of the same rank, two turns later at least.
+        """
+        turn = self.turns.next_turn(request.tenant)
+        later = max(
+            (e for e in self.heap if e[-1].is_waiting and e[0] == request.rank),
+            key=lambda e: e[2],
+            default=None,
+        )
+        if later is None or later[2] <= turn + 1:
+            return False
+        waiter = later[-1]
+        self._abandon(waiter)
+        waiter.granted.errback(SlotError("its tenant has more requests here"))
+        return True
+
     def _queue(self, request: SlotRequest) -> Deferred:
         service_time_s = self.service_time(request.route)
         max_wait_s = (
@@ -223,7 +258,11 @@
             - self.clock.seconds()
         )
         left_s = max(0.0, min(MAX_QUEUE_WAIT_S, max_wait_s))
-        waiter = _Waiter(Deferred(lambda _: self._abandon(waiter)), request)
+        waiter = _Waiter(
+            Deferred(lambda _: self._abandon(waiter)),
+            request,
+            self.turns.take(request.tenant),
+        )
         waiter.timer = self.clock.callLater(left_s, self._expire, waiter)
         self._push(waiter, late=False)
         self.queued += 1
@@ -235,6 +274,7 @@
         entry = (
             request.rank,
             late,
+            waiter.turn,
             request.soft_deadline,
             next(self.sequence),
             waiter,
@@ -275,7 +315,7 @@
 
     def _grant_free_slots(self) -> None:
         while self.heap and self.taken < self.capacity:
-            _, late, _, _, waiter = heapq.heappop(self.heap)
+            _, late, *_, waiter = heapq.heappop(self.heap)
             if not waiter.is_waiting:
                 continue
             if not late and self._will_be_late(waiter.request):
@@ -284,6 +324,7 @@
             if not self.rate.take(self.clock.seconds()):
                 self._push(waiter, late=late)
                 break
+            self.turns.serve(waiter.turn)
             self._dequeue(waiter)
             self.taken += 1
             waiter.granted.callback(None)
@@ -315,7 +356,7 @@
         # Ordered only by soft deadline, requests that will miss theirs would
         # delay those behind them until these miss theirs as well.
         if self.queued > MAX_LATE_QUEUE_PER_SLOT * self.capacity:
-            self._dequeue(waiter)
+            self._abandon(waiter)
             waiter.granted.errback(SlotError("too late to be prompt"))
             return
         self._push(waiter, late=True)
@@ -325,11 +366,14 @@
         self.queued -= 1
         if waiter.timer.active():
             waiter.timer.cancel()
+        if not self.queued:
+            self.turns.clear()
 
     def _abandon(self, waiter: _Waiter) -> None:
         if waiter.is_waiting:
+            self.turns.give_up(waiter.request.tenant, waiter.turn)
             self._dequeue(waiter)
 
     def _expire(self, waiter: _Waiter) -> None:
-        self._dequeue(waiter)
+        self._abandon(waiter)
         waiter.granted.errback(SlotError("no slot in time"))
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -424,6 +424,7 @@
         self.identifier.keys = keys
         self.calls.limits = arrangement.limits
         now = self.clock.seconds()
+        self.host.has_tenants = arrangement.tenants is not None
         self.quotas.set_tenants(arrangement.tenants, now)
         self.gossip.quota_exchange.start()
         logs.info(
