Requests that a cut kept untold are set off against what was left for them

Cause: counts that arrived late after a cut or a pause were dropped. A tenant that got hot in the second before its data centre counted as silent was not charged.

Change: a bucket keeps what it left to silent parts of the fleet, and charges late counts beyond that.

--- a/src/fulmarrudder/quotas/admission.py
+++ b/src/fulmarrudder/quotas/admission.py
@@ -174,10 +174,13 @@
             is_late = now < self.view.counted_from.get(told.data_centre, 0.0)
             was_silent = told.data_centre in self.view.silent
             self.view.hear(told.data_centre, told.missing, now)
-            if is_late or was_silent:
-                continue
             is_local = told.data_centre == self.view.data_centre
-            self._apply(told, own if is_local else {}, now)
+            self._apply(
+                told,
+                own if is_local else {},
+                now,
+                is_late=is_late or was_silent,
+            )
 
     def _bucket_of(
         self, tenant: Tenant, bucket: TenantBucket | None, now: float
@@ -192,12 +195,17 @@
         bucket.set_limit(tenant, limit, now)
         return bucket
 
-    def _apply(self, told: QuotaSum, own: Counts, now: float) -> None:
+    def _apply(
+        self, told: QuotaSum, own: Counts, now: float, *, is_late: bool
+    ) -> None:
         for number, admitted, refused in counts_of(told.counts):
             own_admitted, own_refused = own.get(number, (0, 0))
             others = admitted - own_admitted
             asked = others + refused - own_refused
             for bucket in self.by_id.get(number, ()):
+                if is_late:
+                    bucket.hear_late(others, now)
+                    continue
                 bucket.hear(told.data_centre, others, asked, now)
 
     def _included(self, use: QuotaUse) -> Counts:
--- a/src/fulmarrudder/quotas/bucket.py
+++ b/src/fulmarrudder/quotas/bucket.py
@@ -59,6 +59,8 @@
         by_data_centre: Demand by data centre, over a longer time.
         known: Demand that all data centres know of.
         latest: Demand that they will know of soon.
+        left: Tokens that were left to parts of the fleet which were silent;
+            what these have used is set off against them once it is told.
         admitted: Requests admitted since the last report.
         refused: Requests refused since the last report.
         heard_share: Part of the rate that the parts of the fleet have which
@@ -75,6 +77,7 @@
         "heard_share",
         "known",
         "latest",
+        "left",
         "limit",
         "others",
         "own",
@@ -105,6 +108,7 @@
         self.own = Demand()
         self.others = Demand()
         self.by_data_centre: dict[str, Demand] = {}
+        self.left = 0.0
         self.admitted = 0
         self.refused = 0
         self.epoch = view.epoch
@@ -194,11 +198,28 @@
             asked: Requests that they were asked for.
             now: Clock seconds.
         """
+        if self.left and now >= self.view.caught_up_at and self.view.is_whole:
+            self.left = 0.0
+        self._use(admitted, now)
+        self.others.add(asked, now)
+        self._ask(data_centre, asked, now)
+
+    def hear_late(self, admitted: int, now: float) -> None:
+        """Takes tokens for requests that were held back by a cut or a pause.
+
+        Args:
+            admitted: Requests that were admitted.
+            now: Clock seconds.
+        """
+        self.fill(now)
+        covered = max(0.0, min(self.left, admitted))
+        self.left -= covered
+        self._use(admitted - covered, now)
+
+    def _use(self, admitted: float, now: float) -> None:
         self.fill(now)
         floor = -self.limit.capacity - self.limit.per_s
         self.tokens = max(floor, min(self.capacity, self.tokens - admitted))
-        self.others.add(asked, now)
-        self._ask(data_centre, asked, now)
 
     def wait_s(self, now: float) -> float:
         """Returns the seconds until a request is likely to be admitted.
@@ -270,16 +291,21 @@
         """
         if lost <= 0:
             return
+        before_tokens = self.tokens
         used_per_s = min(self.limit.per_s, self.known.per_s)
         self.tokens -= used_per_s * lost * SILENCE_S
         if self.tokens > 0:
             self.tokens *= self.heard_share / before
+        self.left += before_tokens - self.tokens
 
     def _fill_bucket(self, share: float, now: float) -> None:
+        per_s = self.limit.per_s
         since = max(self.filled_at, self.view.resumed_at)
-        self.filled_at = max(self.filled_at, now)
         if now > since:
-            self.tokens += self.limit.per_s * share * (now - since)
+            self.tokens += per_s * share * (now - since)
+            self.left += per_s * (since - self.filled_at)
+            self.left += per_s * (1 - share) * (now - since)
+        self.filled_at = max(self.filled_at, now)
         self.tokens = min(self.tokens, self.capacity)
 
     def _fill_pace(self, now: float) -> None:
--- a/src/fulmarrudder/quotas/fleet.py
+++ b/src/fulmarrudder/quotas/fleet.py
@@ -19,9 +19,9 @@
         nodes: Number of known nodes by data centre, this one included.
         total_nodes: Their sum, at least 1.
         heard_at: Clock seconds at which each data centre was last heard.
-        counted_from: Clock seconds from which counts of a data centre are
-            taken; those that were held back while it was silent, or this node
-            paused, have been reckoned with.
+        counted_from: Clock seconds until which the counts of a data centre were
+            held back while it was silent, or while this node was paused.
+        caught_up_at: The latest of these.
         missing: Part of each data centre's nodes that its collectors do not
             hear.
         silent: Data centres that are silent.
@@ -37,6 +37,7 @@
         self.total_nodes = 1
         self.heard_at: dict[str, float] = {}
         self.counted_from: dict[str, float] = {}
+        self.caught_up_at = now
         self.missing: dict[str, float] = {}
         self.silent: frozenset[str] = frozenset((data_centre,))
         self.epoch = 0
@@ -67,7 +68,7 @@
         """
         self.heard_at[data_centre] = now
         if data_centre in self.silent:
-            self.counted_from[data_centre] = now + CATCH_UP_S
+            self._await_counts(data_centre, now)
             self._find_silent(now)
         if missing == self.missing.get(data_centre, 0.0):
             return
@@ -84,7 +85,7 @@
             for data_centre, heard_at in self.heard_at.items():
                 if data_centre not in self.silent:
                     self.heard_at[data_centre] = max(heard_at, earliest)
-                self.counted_from[data_centre] = now + CATCH_UP_S
+                self._await_counts(data_centre, now)
         self.beat_at = now
         self._find_silent(now)
 
@@ -92,6 +93,10 @@
         """Returns when a data centre was last heard, in clock seconds."""
         return self.heard_at.get(data_centre, -math.inf)
 
+    def _await_counts(self, data_centre: str, now: float) -> None:
+        self.counted_from[data_centre] = now + CATCH_UP_S
+        self.caught_up_at = now + CATCH_UP_S
+
     def _find_silent(self, now: float) -> None:
         silent = frozenset(
             data_centre
