--- a/src/fulmarrudder/distribution/quota_exchange.py
+++ b/src/fulmarrudder/distribution/quota_exchange.py
@@ -28,7 +28,7 @@
 PERIOD_S = 0.4
 PRESSING_PERIOD_S = 0.1
 # Nodes of a collector above which the messages are sent less often.
-NODES_AT_FULL_PACE = 60.0
+NODES_AT_FULL_PACE = 150.0
 
 
 class QuotaExchange:
@@ -127,7 +127,9 @@
         self.timer = None
         if not self.quotas.has_limits:
             return
-        self.timer = self.clock.callLater(PERIOD_S * self.slowdown, self._run)
+        slowdown = self.slowdown
+        self.timer = self.clock.callLater(PERIOD_S * slowdown, self._run)
+        self.quotas.view.silence_s = SILENCE_S * slowdown
         now = self.clock.seconds()
         self.quotas.beat(now)
         self._send(now)
@@ -147,7 +149,7 @@
         if not collector:
             # Its counts wait for a collector.
             return
-        report = self.quotas.take_report()
+        report = self.quotas.take_report(now)
         if collector == self.node:
             self.collector.add(self.node, report, now)
         else:
@@ -158,6 +160,7 @@
         use = self.collector.take(
             now,
             view.nodes.get(view.data_centre, 1),
+            silence_s=view.silence_s,
             is_alone=not self._hears_other_collector(topology, now),
         )
         local = encode(use)
@@ -170,7 +173,7 @@
         self.quotas.hear(use, now)
 
     def _hears_other_collector(self, topology: Topology, now: float) -> bool:
-        silence_s = SILENCE_S * self.slowdown
+        silence_s = self.quotas.view.silence_s
         return any(
             now - self.told_at.get(node, -math.inf) <= silence_s
             for node in topology.local_gateways
@@ -202,6 +205,6 @@
         silent = frozenset(
             node
             for node, told_at in self.told_at.items()
-            if now - told_at > SILENCE_S * self.slowdown
+            if now - told_at > self.quotas.view.silence_s
         )
         return able - silent or able
--- a/src/fulmarrudder/quotas/admission.py
+++ b/src/fulmarrudder/quotas/admission.py
@@ -21,9 +21,11 @@
 MAX_RETRY_AFTER_S = 5.0
 # Reports that are kept until the collector's sums include them.
 MAX_PENDING_REPORTS = 64
-# Part of its depth that a node admits before it reports that at once.
-PRESSING_PART = 0.5
+# Tokens of a node that starts: enough for a tenant whose next token takes long.
+START_TOKENS = 1.0
 TOO_MANY_STATUS = 429
+# Part of the slack below which requests that are unheard do not press.
+UNPRESSING_PART = 0.25
 DEFAULT_BOUNDS = QuotaBounds()
 
 
@@ -79,8 +81,8 @@
     def set_tenants(self, tenants: Iterable[Tenant] | None, now: float) -> None:
         """Applies the limits of a configuration version.
 
-        Tenants of the first version start without tokens, as the node may have
-        just restarted.
+        Tenants of the first version start with a token only, as the node may
+        have just restarted.
 
         Args:
             tenants: All tenants; None where there are none.
@@ -122,7 +124,7 @@
             return None
         self.changed[tenant.name] = bucket
         if bucket.take(now):
-            if self._is_pressing(bucket):
+            if self._is_pressing(bucket, now):
                 self.on_pressing()
             return None
         self.refusals[tenant.name] += 1
@@ -145,13 +147,13 @@
         """Finds which parts of the fleet are silent."""
         self.view.beat(now)
 
-    def take_report(self) -> QuotaReport:
+    def take_report(self, now: float) -> QuotaReport:
         """Returns what was counted since the last report."""
         counts = {}
         pressing = False
         for bucket in self.changed.values():
             counts[tenant_id(bucket.name)] = (bucket.admitted, bucket.refused)
-            pressing |= self._is_pressing(bucket)
+            pressing |= self._is_pressing(bucket, now)
             bucket.admitted = bucket.refused = 0
         self.changed = {}
         self.number += 1
@@ -190,7 +192,7 @@
         if limit is None:
             return None
         if bucket is None:
-            tokens = limit.capacity if self.is_filled else 0.0
+            tokens = limit.capacity if self.is_filled else START_TOKENS
             return TenantBucket(tenant, limit, self.view, now, tokens)
         bucket.set_limit(tenant, limit, now)
         return bucket
@@ -220,13 +222,17 @@
                 own[tenant] = (before[0] + counts[0], before[1] + counts[1])
         return own
 
-    def _is_pressing(self, bucket: TenantBucket) -> bool:
+    def _is_pressing(self, bucket: TenantBucket, now: float) -> bool:
+        """Returns whether other nodes should soon hear of a tenant's requests.
+
+        What a tenant of little demand asks for unheard is within the slack.
+        """
         if bucket.admitted <= 0:
             return False
-        return (
-            bucket.is_low
-            or bucket.admitted >= PRESSING_PART * bucket.pace_depth + 1
-        )
+        unheard = bucket.demand_per_s(now) * self.view.silence_s
+        if unheard <= UNPRESSING_PART * self.bounds.slack:
+            return False
+        return bucket.is_low or bucket.admitted >= bucket.pace_depth
 
     def _index(self, buckets: dict[str, TenantBucket]) -> None:
         by_id: dict[int, tuple[TenantBucket, ...]] = {}
--- a/src/fulmarrudder/quotas/bucket.py
+++ b/src/fulmarrudder/quotas/bucket.py
@@ -11,7 +11,7 @@
 
 from fulmarrudder.model import Tenant
 from fulmarrudder.quotas.demand import LONG_AVERAGED_S, Demand
-from fulmarrudder.quotas.fleet import SILENCE_S, FleetView
+from fulmarrudder.quotas.fleet import FleetView
 from fulmarrudder.quotas.limits import Limit
 
 # Part of the rate that is shared out by number of nodes instead of demand.
@@ -221,6 +221,10 @@
         floor = -self.limit.capacity - self.limit.per_s
         self.tokens = max(floor, min(self.capacity, self.tokens - admitted))
 
+    def demand_per_s(self, now: float) -> float:
+        """Returns the requests a second that the whole fleet is asked for."""
+        return self.own.per_s(now) + self.others.per_s(now)
+
     def wait_s(self, now: float) -> float:
         """Returns the seconds until a request is likely to be admitted.
 
@@ -231,8 +235,7 @@
             (1 - self.tokens) / (self.heard_share * per_s),
             (1 - self.pace_tokens) / self.pace_per_s,
         )
-        asked = self.own.per_s(now) + self.others.per_s(now)
-        return max(wait_s, asked / per_s - 1)
+        return max(wait_s, self.demand_per_s(now) / per_s - 1)
 
     def _ask(self, data_centre: str, asked: int, now: float) -> None:
         demand = self.by_data_centre.get(data_centre)
@@ -245,7 +248,7 @@
         view = self.view
         even = EVEN_PART * self.limit.per_s
         own = self.own.per_s(now) + even / view.total_nodes
-        own /= self.own.per_s(now) + self.others.per_s(now) + even
+        own /= self.demand_per_s(now) + even
         self.heard_share = 1.0
         if view.is_whole:
             if now - self.latest.at > SETTLED_S:
@@ -293,7 +296,7 @@
             return
         before_tokens = self.tokens
         used_per_s = min(self.limit.per_s, self.known.per_s)
-        self.tokens -= used_per_s * lost * SILENCE_S
+        self.tokens -= used_per_s * lost * self.view.silence_s
         if self.tokens > 0:
             self.tokens *= self.heard_share / before
         self.left += before_tokens - self.tokens
--- a/src/fulmarrudder/quotas/collector.py
+++ b/src/fulmarrudder/quotas/collector.py
@@ -3,7 +3,6 @@
 import dataclasses
 
 from fulmarrudder.quotas.counts import add_counts, flat_counts
-from fulmarrudder.quotas.fleet import SILENCE_S
 from fulmarrudder.quotas.message import QuotaReport, QuotaSum, QuotaUse
 
 # Time after which a node that is not heard is taken to be gone.
@@ -69,16 +68,19 @@
         """Forgets a node that reports to another collector."""
         self.heard_at.pop(node, None)
 
-    def take(self, now: float, nodes: int, *, is_alone: bool) -> QuotaUse:
+    def take(
+        self, now: float, nodes: int, *, silence_s: float, is_alone: bool
+    ) -> QuotaUse:
         """Returns what is to be told, and begins anew.
 
         Args:
             now: Clock seconds.
             nodes: Number of known nodes of this data centre.
+            silence_s: Time after which a node that is not heard is missing.
             is_alone: Whether it hears no other collector there, so that all
                 nodes should report to it.
         """
-        heard, missing = self._count_nodes(now)
+        heard, missing = self._count_nodes(now, silence_s)
         if is_alone:
             missing = max(0, nodes - heard)
         self.own.missing = round(min(1.0, missing / max(1, nodes)), 3)
@@ -95,13 +97,13 @@
         self.pressing = False
         return use
 
-    def _count_nodes(self, now: float) -> tuple[int, int]:
+    def _count_nodes(self, now: float, silence_s: float) -> tuple[int, int]:
         """Returns how many nodes are heard, and how many no longer are."""
         heard = missing = 0
         for node, heard_at in tuple(self.heard_at.items()):
             age_s = now - heard_at
-            heard += age_s <= SILENCE_S
-            missing += SILENCE_S < age_s <= FORGET_S
+            heard += age_s <= silence_s
+            missing += silence_s < age_s <= FORGET_S
             if age_s > FORGET_S:
                 del self.heard_at[node]
         return heard, missing
--- a/src/fulmarrudder/quotas/fleet.py
+++ b/src/fulmarrudder/quotas/fleet.py
@@ -3,10 +3,11 @@
 import math
 from collections.abc import Mapping
 
-# A part of the fleet that is not heard for this long is silent.
+# A part of the fleet that is not heard for this long is silent, where messages
+# are sent at full pace.
 SILENCE_S = 1.2
-# A node whose clock jumps by more than this between two beats has been paused.
-PAUSE_S = 1.0
+# A node whose clock jumps by nearly that time between two beats was paused.
+PAUSE_MARGIN_S = 0.2
 # Time for what has arrived during a pause to be read.
 CATCH_UP_S = 0.3
 
@@ -29,6 +30,7 @@
         changed_at: Clock seconds at which it last rose.
         resumed_at: Clock seconds at which the node last started or woke.
         beat_at: Clock seconds of the latest beat.
+        silence_s: Time after which a part that is not heard is silent.
     """
 
     def __init__(self, data_centre: str, now: float):
@@ -44,6 +46,7 @@
         self.changed_at = now
         self.resumed_at = now
         self.beat_at = now
+        self.silence_s = SILENCE_S
 
     @property
     def is_whole(self) -> bool:
@@ -79,9 +82,9 @@
 
     def beat(self, now: float) -> None:
         """Finds the data centres that have become silent, and pauses."""
-        if now - self.beat_at > PAUSE_S:
+        if now - self.beat_at > self.silence_s - PAUSE_MARGIN_S:
             self.resumed_at = now
-            earliest = now - SILENCE_S + CATCH_UP_S
+            earliest = now - self.silence_s + CATCH_UP_S
             for data_centre, heard_at in self.heard_at.items():
                 if data_centre not in self.silent:
                     self.heard_at[data_centre] = max(heard_at, earliest)
@@ -101,7 +104,7 @@
         silent = frozenset(
             data_centre
             for data_centre in self.nodes
-            if now - self.last_heard(data_centre) > SILENCE_S
+            if now - self.last_heard(data_centre) > self.silence_s
         )
         if silent != self.silent:
             self.silent = silent
