--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -159,6 +159,7 @@
     UNKNOWN_KEY = "unknown-key"
     UNCONFIRMED = "configuration-not-confirmed"
     EVACUATED = "evacuated"
+    QUOTA = "quota-exceeded"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/src/fulmarrudder/distribution/codec.py
+++ b/src/fulmarrudder/distribution/codec.py
@@ -32,6 +32,7 @@
     SourceEra,
     Strike,
 )
+from fulmarrudder.quotas.message import QuotaReport, QuotaUse
 
 MESSAGE_KINDS = Kinds(
     hello=Hello,
@@ -46,6 +47,8 @@
     document=Document,
     change=ConfigChange,
     source=SourceUpdate,
+    counted=QuotaReport,
+    used=QuotaUse,
 )
 FACT_KINDS = Kinds(
     presence=Presence,
--- a/src/fulmarrudder/distribution/message.py
+++ b/src/fulmarrudder/distribution/message.py
@@ -5,11 +5,12 @@
 
 from fulmarrudder.log import RawRecord
 from fulmarrudder.model import Fact
+from fulmarrudder.quotas.message import QuotaReport, QuotaUse
 from fulmarrudder.state_machine import State
 
 # Nodes of protocol 1 take `SourceUpdate` and `ConfigChange`, those of protocol 2
-# facts `Evacuation` and `SourceEra` as well. A node closes a link on which a message
-# or a fact of an unknown kind arrives.
+# `QuotaReport`, `QuotaUse` and the facts `Evacuation` and `SourceEra` as well. A node
+# closes a link on which a message or a fact of an unknown kind arrives.
 PROTOCOL = 2
 
 
@@ -234,4 +235,6 @@
     | Document
     | ConfigChange
     | SourceUpdate
+    | QuotaReport
+    | QuotaUse
 )
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -53,11 +53,13 @@
     RecordedMove,
 )
 from fulmarrudder.node.evacuation import Evacuations
-from fulmarrudder.node.gauges import call_gauges
+from fulmarrudder.node.gauges import call_gauges, quota_gauges
 from fulmarrudder.node.move_executor import ControllerLease, MoveExecutor
 from fulmarrudder.node.presence import PresenceBroadcaster
 from fulmarrudder.node.supervisor import Supervisor, ignore
 from fulmarrudder.observe import EventLog, Metrics, Sample, Spans, logs
+from fulmarrudder.quotas import FleetQuotas, QuotaBounds
+from fulmarrudder.quotas.gate import QuotaGate
 from fulmarrudder.state_machine import OPEN_PHASES, CurrentVersion, Move, State
 from fulmarrudder.tenants import Credentials, Identifier, KeyTable
 
@@ -96,6 +98,7 @@
         credentials: What is demanded of a node that may be behind.
         cold_excess: Requests that a cold target may get for each that its
             service names.
+        quota_bounds: How exactly the quotas of tenants are to be kept.
     """
 
     node: str
@@ -108,6 +111,7 @@
     link_bytes_per_s: float = math.inf
     credentials: Credentials = Credentials()
     cold_excess: float = 1.0
+    quota_bounds: QuotaBounds = QuotaBounds()
 
 
 def _keep_nowhere(departed: DepartedTarget) -> Deferred:
@@ -133,6 +137,7 @@
         host: Pipeline of requests to the local target.
         identifier: Finds the tenants of requests.
         evacuations: Applies evacuations of data centres.
+        quotas: Decides which requests are beyond the quotas of tenants.
         gossip: Links to other nodes.
         render_document: Puts the active configuration together as a document;
             None before the first one.
@@ -248,6 +253,12 @@
         self.discovery_deadline = reactor.seconds() + DISCOVERY_TIMEOUT_S
         if not is_first_start:
             self.local_target.unconfirmed_until = self.discovery_deadline
+        self.quotas = FleetQuotas(
+            settings.node,
+            settings.data_centre,
+            reactor.seconds(),
+            settings.quota_bounds,
+        )
         self.gossip = Gossip(
             clock=reactor,
             rng=rng,
@@ -269,6 +280,7 @@
             on_source_update=on_source_update,
             on_change=on_change,
             link_bytes_per_s=settings.link_bytes_per_s,
+            quotas=self.quotas,
         )
         self.host = HostPipeline(
             clock=reactor,
@@ -312,6 +324,9 @@
         )
         self.identifier.credentials = settings.credentials
         self.entry.identify = self.identifier.identify
+        gate = QuotaGate(reactor, self.quotas, self.events)
+        self.entry.admit = gate.admit
+        self.entry.refund = gate.refund
         self.calls = CallFactory(
             clock=reactor,
             entry=self.entry,
@@ -437,6 +452,9 @@
         self.calls.limits = arrangement.limits
         self.host.cold.set_services(arrangement.services)
         now = self.clock.seconds()
+        self.host.has_tenants = arrangement.tenants is not None
+        self.quotas.set_tenants(arrangement.tenants, now)
+        self.gossip.quota_exchange.start()
         logs.info(
             "in-force",
             version=version,
@@ -689,7 +707,7 @@
             Sample(name=name, labels=(), value=value)
             for name, value in values.items()
         )
-        return (*samples, *call_gauges(self))
+        return (*samples, *call_gauges(self), *quota_gauges(self.quotas))
 
     def leave(self) -> None:
         """Starts to leave: accepts no new requests for the local target."""
--- a/src/fulmarrudder/observe/metrics.py
+++ b/src/fulmarrudder/observe/metrics.py
@@ -119,6 +119,15 @@
     "fulmarrudder_source_era": _Family(
         Gauge, "Highest era of the source of versions that was seen."
     ),
+    "fulmarrudder_quota_silent_data_centres": _Family(
+        Gauge,
+        "Data centres of which this node does not hear what they admit.",
+    ),
+    "fulmarrudder_quota_refused": _Family(
+        Gauge,
+        "Requests refused here as beyond the quota of their tenant, for the "
+        "tenants that are refused most.",
+    ),
     "fulmarrudder_brakes": _Family(Gauge, "Brakes known."),
     "fulmarrudder_strikes": _Family(
         Gauge, "Deaths of targets, by the requests that they ran, known here."
--- a/src/fulmarrudder/platform/settings.py
+++ b/src/fulmarrudder/platform/settings.py
@@ -41,6 +41,11 @@
     fail_closed: bool = pydantic.Field(False, alias="revokeFailClosed")
     revoke: Milliseconds = 5_000.0
     cold_excess: float = pydantic.Field(1.0, alias="coldExcess", gt=0)
+    quota_window: Milliseconds = pydantic.Field(
+        5_000.0, alias="quotaWindow", gt=0
+    )
+    quota_excess: float = pydantic.Field(0.1, alias="quotaExcess", ge=0)
+    quota_slack: float = pydantic.Field(20.0, alias="quotaSlack", ge=0)
 
 
 class _Limits(PlatformModel):
@@ -101,6 +106,9 @@
         revoke_s: Seconds without a confirmation after which that is so.
         cold_excess: Requests that a cold target may get for each that its
             service names.
+        quota_window_s: Seconds over which a tenant's requests are counted.
+        quota_excess: Part by which a tenant may exceed its quota in that time.
+        quota_slack: Requests by which it may exceed its quota in that time.
     """
 
     node: str
@@ -125,6 +133,9 @@
     fail_closed: bool = False
     revoke_s: float = 5.0
     cold_excess: float = 1.0
+    quota_window_s: float = 5.0
+    quota_excess: float = 0.1
+    quota_slack: float = 20.0
 
 
 def parse_machine_settings(text: str) -> Result[MachineSettings, SettingsError]:
@@ -167,6 +178,9 @@
             fail_closed=model.bounds.fail_closed,
             revoke_s=model.bounds.revoke / 1000,
             cold_excess=model.bounds.cold_excess,
+            quota_window_s=model.bounds.quota_window / 1000,
+            quota_excess=model.bounds.quota_excess,
+            quota_slack=model.bounds.quota_slack,
         )
     )
 
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -59,6 +59,7 @@
     Status,
     Undecided,
 )
+from fulmarrudder.quotas import QuotaReport, QuotaSum, QuotaUse
 from fulmarrudder.state_machine import Move, Phase, State
 from fulmarrudder.state_machine.state import CurrentVersion, Duty
 
@@ -297,6 +298,15 @@
         facts=(Evacuation(data_centre="lima-1", offset=17, in_force=True),)
     ),
     FactBatch(facts=(SourceEra(number=2),)),
+    QuotaReport(number=7, counts=(4_000_000_000, 3, 0, 17, -1, 2)),
+    QuotaUse(
+        sums=(
+            QuotaSum(data_centre="lima-1", counts=(17, 5, 1), missing=0.125),
+            QuotaSum(data_centre="lima-2"),
+        ),
+        included=(("n1", 7),),
+        pressing=True,
+    ),
 )
 ANSWERS = (
     Status(
