A request goes by its likely cost and by the work left at each target

Cause: requests that look alike cost different amounts of work, and load reports of other nodes are nearly always stale in a large fleet. Change: package placement (costs by class, speed, work left, returns, vacancies); slots estimate waits from it once the target tells how long work takes; answers between nodes carry the wait and the slowness (fulmarrudder-work); a freed slot is told to one node that asks (message Vacancy, protocol 2). Where targets tell no fourth figure, nothing changes on the wire but the protocol's number in Hello.

--- a/src/fulmarrudder/call/advice.py
+++ b/src/fulmarrudder/call/advice.py
@@ -12,6 +12,8 @@
 from fulmarrudder.observe import logs
 
 YES = b"1"
+# Part of the load that tells how long work takes; 100 is as usual.
+SLOWNESS_PART = 3
 # Requests let in for each that the target names: what is over one and a half
 # times the limit within 4 s counts as too much, and bursts and resent requests
 # come on top.
@@ -54,6 +56,32 @@
     )
 
 
+def parse_slowness(
+    head: ResponseHead, header_names: HeaderNames
+) -> float | None:
+    """Returns how many times longer than usual work takes at a target.
+
+    Args:
+        head: Head of its answer.
+        header_names: Field names.
+
+    Returns:
+        The slowness, or None if the target does not tell it.
+    """
+    if not header_names.load:
+        return None
+    value = head.headers.get(header_names.load)
+    if value is None:
+        return None
+    parts = value.split(b",")
+    if (
+        len(parts) <= SLOWNESS_PART
+        or not parts[SLOWNESS_PART].strip().isdigit()
+    ):
+        return None
+    return int(parts[SLOWNESS_PART]) / 100
+
+
 def _parse_rate(value: bytes | None) -> float:
     """Returns a rate; infinite if there is none or it is not a rate."""
     try:
@@ -105,6 +133,9 @@
         current = self.local_target.latest
         if (current.id, current.incarnation) != (target.id, target.incarnation):
             return
+        slowness = parse_slowness(head, self.header_names)
+        if slowness is not None:
+            self.slots.target_told(slowness)
         advice = parse_advice(head, self.header_names)
         if advice.is_leaving and not self.latest.is_leaving:
             logs.info("target-leaving", target=target.id)
--- a/src/fulmarrudder/call/endpoint_stats.py
+++ b/src/fulmarrudder/call/endpoint_stats.py
@@ -18,10 +18,15 @@
         load: Requests that run or wait for a slot there.
         service_time_s: Average time for which a request of the answered
             route occupies a slot.
+        wait_s: Expected seconds until it has a slot free; None when that is
+            not estimated.
+        slowness: How many times longer than on average work takes now.
     """
 
     load: int
     service_time_s: float
+    wait_s: float | None = None
+    slowness: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -55,6 +60,9 @@
             without a load report.
         last_failure_at: Clock seconds of the last request that failed or was
             shed.
+        wait_s: Last reported wait for a slot; None when it reports none.
+        slowness: Last reported slowness.
+        sent_since: Requests sent to it since the last report.
     """
 
     slow_start_from: float
@@ -72,6 +80,9 @@
     reported_at: float = 0.0
     awaiting_since: float = 0.0
     last_failure_at: float = 0.0
+    wait_s: float | None = None
+    slowness: float = 1.0
+    sent_since: int = 0
 
     def record_latency(self, route: str, latency_s: float) -> None:
         """Adds a sample to the moving average of a route."""
@@ -87,16 +98,46 @@
         )
         return max(service_time_s, self.latency_by_route.get(route, 0.0))
 
+    def report_weight(self, now: float) -> float:
+        """Returns how much the last load report counts, from 1 down to 0."""
+        age = now - self.reported_at
+        return max(0.0, 1.0 - age / LOAD_REPORT_TTL_S)
+
+    def latency_now_s(self, route: str, now: float, slots: int) -> float:
+        """Returns the expected latency by the wait and slowness reported.
+
+        Args:
+            route: Name of the route.
+            now: Clock seconds.
+            slots: Slots of the target.
+        """
+        weight = self.report_weight(now)
+        slowness = 1.0 + weight * (self.slowness - 1.0)
+        service_time_s = self.service_time_by_route.get(
+            route, self.service_time_s
+        )
+        return self.wait_now_s(now, slots) + max(
+            service_time_s * slowness, self.latency_by_route.get(route, 0.0)
+        )
+
+    def wait_now_s(self, now: float, slots: int) -> float:
+        """Returns the expected wait for a slot, by the last report.
+
+        Args:
+            now: Clock seconds.
+            slots: Slots of the target.
+        """
+        excess = max(0.0, self.expected_load(now) + 1 - slots)
+        added_s = self.service_time_s * min(self.sent_since, excess) / slots
+        return self.wait_s * self.report_weight(now) + added_s
+
     def stalled_s(self, now: float) -> float:
         """Returns for how long requests are outstanding without a report."""
         return now - self.awaiting_since if self.outstanding else 0.0
 
     def expected_load(self, now: float) -> float:
         """Estimates how many requests run or wait there now."""
-        age = now - self.reported_at
-        load_from_others = self.load_from_others * max(
-            0.0, 1.0 - age / LOAD_REPORT_TTL_S
-        )
+        load_from_others = self.load_from_others * self.report_weight(now)
         return load_from_others + self.outstanding
 
 
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -33,7 +33,7 @@
     shows_no_target,
     with_earlier_attempts,
 )
-from fulmarrudder.call.endpoint_stats import LoadReport, SlotState
+from fulmarrudder.call.endpoint_stats import SlotState
 from fulmarrudder.call.errors import CallError, ConnectError, WithheldError
 from fulmarrudder.call.exchange import (
     ExchangeEnd,
@@ -181,6 +181,7 @@
             token=token,
             balancer=balancer,
         )
+        balancer.local_report = host.load_report
         self.active_config = ActiveConfig()
         self.freshness = ConfigFreshness()
         self.start_gate = StartGate(clock)
@@ -686,10 +687,7 @@
         request = call.request_to(presence, spill_deadline=spill_deadline)
         answer = await self.host.serve(request, call.body, call.send_continue)
         route = call.route.name
-        report = LoadReport(
-            load=self.host.load,
-            service_time_s=self.host.slots.service_time(route),
-        )
+        report = self.host.load_report(route, call.head.length)
         self.balancer.record_load_report(
             presence, self.clock.seconds(), report, route
         )
--- a/src/fulmarrudder/call/header_names.py
+++ b/src/fulmarrudder/call/header_names.py
@@ -33,7 +33,8 @@
         response_seal: From targets: present in every answer that a target
             produced itself.
         not_run: From targets: the request was refused, not executed.
-        load: From targets: running, queued and slots, separated by commas.
+        load: From targets: running, queued and slots, separated by commas;
+            some add how long work takes, 100 being as usual.
         requests_per_s: From targets in need: requests a second that the target
             takes from all nodes together.
         leaving: From targets: "1" if the target is about to stop.
--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -10,6 +10,7 @@
 from fulmarrudder.call.endpoint_stats import LoadReport
 from fulmarrudder.call.host import HostRequest
 from fulmarrudder.call.message import (
+    ASKER_HEADER,
     IDEMPOTENCY_KEY_HEADER,
     LOAD_HEADER,
     PEER_HEADER,
@@ -17,6 +18,7 @@
     REACHED_TARGET_HEADER,
     REASON_HEADER,
     RETRY_AFTER_HEADER,
+    WORK_HEADER,
     Field,
     Headers,
     Ran,
@@ -160,19 +162,53 @@
     return (LOAD_HEADER, b"%d/%d" % (load, max(1, service_time_s * 1000)))
 
 
+def load_fields(report: LoadReport) -> tuple[Field, ...]:
+    """Returns the fields that report the load of a node's target."""
+    load = load_field(report.load, report.service_time_s)
+    if report.wait_s is None:
+        return (load,)
+    work = b"%d/%d" % (report.wait_s * 1000, report.slowness * 100)
+    return load, (WORK_HEADER, work)
+
+
 def parse_load_report(head: ResponseHead) -> LoadReport | None:
     """Returns the load report of an answer, or None."""
-    value = head.headers.get(LOAD_HEADER)
-    if value is None:
-        return None
-    load, _, service_time_ms = value.partition(b"/")
-    if not load.isdigit() or not service_time_ms.isdigit():
+    loaded = _two_numbers(head.headers.get(LOAD_HEADER))
+    if loaded is None:
         return None
+    load, service_time_ms = loaded
+    wait_s, slowness = None, 1.0
+    work = _two_numbers(head.headers.get(WORK_HEADER))
+    if work is not None:
+        wait_s, slowness = work[0] / 1000, max(1, work[1]) / 100
     return LoadReport(
-        load=int(load), service_time_s=int(service_time_ms) / 1000
+        load=load,
+        service_time_s=service_time_ms / 1000,
+        wait_s=wait_s,
+        slowness=slowness,
     )
 
 
+def _two_numbers(value: bytes | None) -> tuple[int, int] | None:
+    if value is None:
+        return None
+    first, _, second = value.partition(b"/")
+    if not first.isdigit() or not second.isdigit():
+        return None
+    return int(first), int(second)
+
+
+def asker_field(node: str) -> Field:
+    """Returns the field that names the node to tell of free slots."""
+    return (ASKER_HEADER, _encode_name(node))
+
+
+def parse_asker(head: RequestHead) -> str:
+    """Returns the node that a request names in it, or an empty name."""
+    value = head.headers.get(ASKER_HEADER)
+    return "" if value is None else _decode_name(value)
+
+
 def parse_refusal(head: ResponseHead) -> Refusal | None:
     """Returns the refusal in another node's answer, or None."""
     ran = head.headers.get(RAN_HEADER)
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -32,6 +32,7 @@
     FIRST_FAILURE_STATUS,
     with_earlier_attempts,
 )
+from fulmarrudder.call.endpoint_stats import LoadReport
 from fulmarrudder.call.errors import CallError, ConnectError, SlotError
 from fulmarrudder.call.exchange import (
     ConnectionLostError,
@@ -64,11 +65,13 @@
 from fulmarrudder.call.slots import SlotRequest, Slots
 from fulmarrudder.call.tally import Tallies
 from fulmarrudder.call.upstream import Connection, ConnectionPool
+from fulmarrudder.call.vacancies import VacancyReporter
 from fulmarrudder.call.warmup import WarmupTracker
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.membership import Announcement, FactStore, LocalTarget
 from fulmarrudder.model import Condition, Strike
 from fulmarrudder.observe import EventLog, Metrics, logs
+from fulmarrudder.placement import Run, class_of
 
 # A request cancelled sooner than this is not counted: its duration says nothing
 # about the target's latency.
@@ -79,6 +82,8 @@
 PROBE_S = 0.1
 # Validities of answers that the target wrote to the request.
 TOLD_BY_TARGET = frozenset({AnswerValidity.VALID, AnswerValidity.NOT_RUN})
+# A rank that goes behind all others.
+LEAST_URGENT = 1_000_000
 NO_TIME_LEFT = not_run(RefusalReason.DEADLINE, "no time left", 504)
 
 
@@ -139,6 +144,7 @@
         retry_budgets: Retry budgets of this node.
         intake: Limits the bodies that other nodes send at once.
         advice: Applies what the target tells of itself in its answers.
+        vacancies: Tells other nodes of free slots.
     """
 
     def __init__(
@@ -185,6 +191,13 @@
             report=self.report,
             on_leaving=on_target_leaving or local_target.leave,
         )
+        self.vacancies = VacancyReporter(
+            clock=clock,
+            slots=self.slots,
+            is_open=lambda: (
+                not self.leaving and local_target.condition is Condition.READY
+            ),
+        )
 
     def apply_announcement(self) -> None:
         """Applies the slot and connection limits that the target announced.
@@ -220,6 +233,7 @@
             rank=request.rank,
             route=request.route,
             spill_deadline=request.spill_deadline,
+            body_bytes=request.head.length,
         )
         asked_at = self.clock.seconds()
         granted = self.slots.acquire(request.deadline, slot_request)
@@ -227,7 +241,7 @@
             # Queued, so it is likely to run: receive its body meanwhile.
             send_continue()
         try:
-            await granted
+            run = await granted
         except SlotError as error:
             return _refusal_to_node(self._overload_refusal(request, str(error)))
         self.report.time_in_queue.add(
@@ -236,9 +250,9 @@
         # The target or this node may have changed state during the wait.
         refusal = self.check_request(request)
         if refusal is not None:
-            self.slots.release()
+            self.slots.release(run=run)
             return _refusal_to_node(refusal)
-        slot_use = _SlotUse(self, request.route)
+        slot_use = _SlotUse(self, request.route, run)
         try:
             if not request.key:
                 return await self._run(request, body, send_continue, slot_use)
@@ -252,7 +266,7 @@
         reason = RefusalReason.OVERLOADED
         if request.spill_deadline:
             reason = RefusalReason.BUSY
-        after_s = self.slots.retry_after()
+        after_s = self.slots.retry_after(request.deadline)
         return not_run(reason, detail, retry_after_s=after_s)
 
     @property
@@ -260,6 +274,25 @@
         """Number of requests that run or wait at this node."""
         return self.slots.taken + self.slots.queued
 
+    def load_report(self, route: str, body_bytes: int = 0) -> LoadReport:
+        """Returns the load of the target, for requests of a class.
+
+        Args:
+            route: Name of their route.
+            body_bytes: Size of their bodies.
+        """
+        slots = self.slots
+        if not slots.uses_work:
+            service_time_s = slots.service_time(route)
+            return LoadReport(load=self.load, service_time_s=service_time_s)
+        work, now = slots.work, self.clock.seconds()
+        return LoadReport(
+            load=self.load,
+            service_time_s=work.usual_s(class_of(route, body_bytes)),
+            wait_s=slots.expected_wait(LEAST_URGENT),
+            slowness=work.speed.now(now) / work.speed.average,
+        )
+
     def check_request(self, request: HostRequest) -> Refusal | None:
         """Returns the refusal of a request that may not run now, or None."""
         latest = self.local_target.latest
@@ -593,14 +626,16 @@
         "exchange",
         "host",
         "route",
+        "run",
         "is_held",
         "detached",
         "started_at",
     )
 
-    def __init__(self, host: HostPipeline, route: str):
+    def __init__(self, host: HostPipeline, route: str, run: Run):
         self.host = host
         self.route = route
+        self.run = run
         self.exchange: Exchange | None = None
         self.is_held = True
         self.detached = False
@@ -634,7 +669,7 @@
         if self.is_held:
             self.is_held = False
             self.host.in_flight -= 1
-            self.host.slots.release(service_time_s, self.route)
+            self.host.slots.release(service_time_s, self.route, self.run)
 
 
 def _forward_result(result, waiting: Deferred) -> None:
--- a/src/fulmarrudder/call/load_balancer.py
+++ b/src/fulmarrudder/call/load_balancer.py
@@ -10,6 +10,7 @@
 import math
 import operator
 import random
+from collections.abc import Callable
 
 from fulmarrudder.call.contact import DataCentreContact
 from fulmarrudder.call.endpoint_stats import (
@@ -22,6 +23,7 @@
 )
 from fulmarrudder.model import Condition, Presence
 from fulmarrudder.observe import EventLog, Metrics
+from fulmarrudder.placement import Vacancies
 
 EJECT_AFTER_FAILURES = 3
 BASE_EJECTION_S = 1.0
@@ -75,16 +77,27 @@
 
     Attributes:
         distance: `LOCAL_TARGET`, `SAME_DATA_CENTRE` or `OTHER_DATA_CENTRE`.
-        latency_s: Expected latency; infinite without a load report or a free
-            slot.
+        latency_s: Expected latency; infinite without a load report, and
+            without a free slot unless the wait for one was reported.
         cost_s: Expected latency adjusted for distance and slow start; finite
             also when no slot is free.
+        has_room: Whether it is expected to have a slot free.
     """
 
     presence: Presence
     distance: int
     latency_s: float
     cost_s: float = 0.0
+    has_room: bool = True
+
+
+def _nearest(candidates: list[_Candidate]) -> list[_Candidate]:
+    """Returns the nearest candidates with room; all of them if none has."""
+    with_room = [c for c in candidates if c.has_room]
+    if not with_room:
+        return candidates
+    nearest = min(c.distance for c in with_room)
+    return [c for c in with_room if c.distance == nearest]
 
 
 class LoadBalancer:
@@ -97,7 +110,11 @@
         answer_bytes: Moving average of the size of answers, by route.
         contacts: What was last heard of other data centres, by name.
         basis: Why the last endpoint was chosen: `only` one, to `explore`, the
-            `nearest` that is fast enough, or of the lowest `cost`.
+            `nearest` that is fast enough, of the lowest `cost`, or because of
+            a `vacancy`.
+        vacancies: Free slots that this node was told of.
+        local_report: Returns the load of the local target for requests of a
+            route and a size of the body; None when there is none.
     """
 
     def __init__(
@@ -116,6 +133,8 @@
         self.answer_bytes: dict[str, float] = {}
         self.contacts: dict[str, DataCentreContact] = {}
         self.basis = ""
+        self.vacancies = Vacancies()
+        self.local_report: Callable[[str, int], LoadReport] | None = None
 
     def choose(
         self,
@@ -162,9 +181,11 @@
             / REMOTE_BYTES_PER_S
             + REMOTE_PENALTY_FRACTION * latency_objective_s
         )
+        sampled = self._sample(eligible)
+        self._ask_local_target(sampled, now, route, body_bytes)
         candidates = [
             self._score(presence, now, route, remote_penalty_s)
-            for presence in self._sample(eligible)
+            for presence in sampled
         ]
         sufficient_s = SUFFICIENT_FRACTION * latency_objective_s
         sufficient = [
@@ -174,9 +195,63 @@
         ]
         self.basis = "nearest" if sufficient else "cost"
         if sufficient:
-            nearest = min(c.distance for c in sufficient)
-            candidates = [c for c in sufficient if c.distance == nearest]
-        return min(candidates, key=operator.attrgetter("cost_s")).presence
+            candidates = _nearest(sufficient)
+        best = min(candidates, key=operator.attrgetter("cost_s"))
+        if not self._is_surely_free(best.presence, now):
+            offered = self._best_offer(eligible, now, route)
+            if offered is not None:
+                self.basis = "vacancy"
+                self.vacancies.use(offered.node)
+                return offered
+        return best.presence
+
+    def _ask_local_target(
+        self, sampled: list[Presence], now: float, route: str, body_bytes: int
+    ) -> None:
+        """Records the load of the local target as it is at the moment."""
+        if self.local_report is None:
+            return
+        for presence in sampled:
+            if presence.node != self.node:
+                continue
+            stats = self._stats_for(presence, now)
+            if stats.wait_s is not None:
+                report = self.local_report(route, body_bytes)
+                self.record_load_report(presence, now, report, route)
+
+    def _is_surely_free(self, presence: Presence, now: float) -> bool:
+        stats = self._stats_for(presence, now)
+        if now - stats.reported_at > FRESH_REPORT_S:
+            return False
+        return stats.expected_load(now) < max(1, presence.slots)
+
+    def _best_offer(
+        self, eligible: list[Presence], now: float, route: str
+    ) -> Presence | None:
+        """Returns the endpoint with the fastest slot that was told free."""
+        best, best_s = None, math.inf
+        if not self.vacancies.by_node:
+            return None
+        for presence in eligible:
+            offer = self.vacancies.offer_of(presence.node, now)
+            if offer is None:
+                continue
+            stats = self._stats_for(presence, now)
+            usual_s = stats.service_time_by_route.get(
+                route, stats.service_time_s
+            )
+            if usual_s * offer.slowness < best_s:
+                best, best_s = presence, usual_s * offer.slowness
+        return best
+
+    def wants_vacancies_of(self, presence: Presence) -> bool:
+        """Returns whether an endpoint is to tell this node of free slots."""
+        stats = self.endpoint_stats.get((presence.node, presence.incarnation))
+        return (
+            stats is not None
+            and stats.wait_s is not None
+            and presence.data_centre == self.data_centre
+        )
 
     def _sample(self, eligible: list[Presence]) -> list[Presence]:
         """Samples the endpoints to compare, local ones among them."""
@@ -241,10 +316,13 @@
         stats = self._stats_for(presence, now)
         slots = max(1, presence.slots)
         excess = max(0.0, stats.expected_load(now) + 1 - slots)
-        latency_s = (
-            stats.unloaded_latency_s(route)
-            + stats.service_time_s * excess / slots
-        )
+        if stats.wait_s is None:
+            latency_s = (
+                stats.unloaded_latency_s(route)
+                + stats.service_time_s * excess / slots
+            )
+        else:
+            latency_s = stats.latency_now_s(route, now, slots)
         # A frozen or partitioned node sends no reports, which is detected long
         # before the deadlines of the requests that were sent there.
         latency_s = max(
@@ -256,10 +334,12 @@
         failure_rate = stats.failure_rate * math.exp(-age / FAILURE_DECAY_S)
         latency_s *= 1 + FAILURE_PENALTY * failure_rate**2
         has_report = stats.reported_at > 0.0
+        is_known = stats.wait_s is not None or excess == 0
         candidate = _Candidate(
             presence=presence,
             distance=distance,
-            latency_s=latency_s if has_report and excess == 0 else math.inf,
+            latency_s=latency_s if has_report and is_known else math.inf,
+            has_room=excess == 0,
         )
         if distance == LOCAL_TARGET:
             latency_s *= LOCAL_TARGET_FACTOR
@@ -318,6 +398,8 @@
     def slot_state(self, presence: Presence, now: float) -> SlotState:
         """Returns whether an endpoint has a free slot, by its last report."""
         stats = self._stats_for(presence, now)
+        if self.vacancies.offer_of(presence.node, now) is not None:
+            return SlotState.FREE
         if now - stats.reported_at > LOAD_REPORT_TTL_S:
             return SlotState.UNKNOWN
         occupied = stats.load_from_others + stats.outstanding
@@ -349,6 +431,9 @@
         stats.service_time_s += weight * (
             report.service_time_s - stats.service_time_s
         )
+        stats.wait_s = report.wait_s
+        stats.slowness = report.slowness
+        stats.sent_since = 0
         stats.reported_at = stats.awaiting_since = now
         self._contact_with(presence.data_centre).record_heard()
 
@@ -358,6 +443,7 @@
         if not stats.outstanding:
             stats.awaiting_since = now
         stats.outstanding += 1
+        stats.sent_since += 1
         if presence.data_centre != self.data_centre:
             due_at = now + self.stall_timeout_s(presence, now)
             self._contact_with(presence.data_centre).record_sent(now, due_at)
--- a/src/fulmarrudder/call/sender.py
+++ b/src/fulmarrudder/call/sender.py
@@ -8,7 +8,12 @@
 from fulmarrudder.call.endpoint_stats import LoadReport
 from fulmarrudder.call.errors import WithheldError
 from fulmarrudder.call.exchange import Exchange, UpstreamAnswer
-from fulmarrudder.call.hop import hop_fields, parse_load_report, parse_refusal
+from fulmarrudder.call.hop import (
+    asker_field,
+    hop_fields,
+    parse_load_report,
+    parse_refusal,
+)
 from fulmarrudder.call.load_balancer import LoadBalancer
 from fulmarrudder.call.message import Framing, Refusal
 from fulmarrudder.call.plan import Call
@@ -155,6 +160,8 @@
             self.clock.seconds(),
             expect_continue=expect_continue,
         )
+        if self.balancer.wants_vacancies_of(presence):
+            fields = (*fields, asker_field(self.balancer.node))
         return connection.start(
             call.head, call.body, fields, expect_continue=expect_continue
         )
--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -12,7 +12,8 @@
 )
 from fulmarrudder.call.header_names import request_id_fields
 from fulmarrudder.call.hop import (
-    load_field,
+    load_fields,
+    parse_asker,
     parse_host_request,
     with_traceparent,
 )
@@ -132,6 +133,9 @@
             return refusal_answer(request, to_node=True)
         self.route = request.route
         host = self.factory.host
+        asker = parse_asker(self.head)
+        if asker:
+            host.vacancies.asked(asker, now)
         permit = host.intake.permit(self.head, self.body, self.send_continue)
         try:
             answer = await host.serve(request, self.body, permit.request)
@@ -199,8 +203,8 @@
 
     def _added_fields(self, answer: Answer) -> tuple[Field, ...]:
         if self.role == "host":
-            host = self.factory.host
-            return (load_field(host.load, host.slots.service_time(self.route)),)
+            report = self.factory.host.load_report(self.route, self.head.length)
+            return load_fields(report)
         if answer.refusal is not None:
             return request_id_fields(self.head, self.factory.entry.header_names)
         return ()
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -8,12 +8,21 @@
 import dataclasses
 import heapq
 import itertools
+import math
+from collections.abc import Callable
 
 from twisted.internet.defer import Deferred, fail, succeed
 
 from fulmarrudder.call.errors import SlotError
 from fulmarrudder.call.rate import RateLimit
 from fulmarrudder.clock import Clock
+from fulmarrudder.placement import (
+    CostClass,
+    ReturnLine,
+    Run,
+    Workload,
+    class_of,
+)
 
 MAX_QUEUE_PER_SLOT = 4
 MAX_QUEUE_WAIT_S = 2.0
@@ -43,6 +52,9 @@
 MIN_TIME_FACTOR = 0.6
 # Lower bound of the retry-after time that a refused caller gets.
 MIN_RETRY_AFTER_S = 0.02
+# A queued request counts as hopeless when its expected wait exceeds the time for
+# which it may wait by this factor: the estimate is of averages.
+HOPELESS_FACTOR = 1.5
 # Rounding may leave a fraction of a token to wait for.
 MIN_RATE_DELAY_S = 0.001
 
@@ -60,6 +72,7 @@
         spill_deadline: Clock seconds after which the request should spill
             over to another target that may have a free slot; 0 when there is
             none.
+        body_bytes: Size of its body; 0 when it is unknown.
     """
 
     deadline: float
@@ -67,6 +80,12 @@
     rank: int = 0
     route: str = ""
     spill_deadline: float = 0.0
+    body_bytes: int = 0
+
+    @property
+    def cost_class(self) -> CostClass:
+        """Class of the requests that cost about as much."""
+        return class_of(self.route, self.body_bytes)
 
 
 def likely_late(
@@ -95,6 +114,10 @@
     is_waiting: bool = True
 
 
+def _ignore() -> None:
+    """Does nothing."""
+
+
 class Slots:
     """Limits the requests that the target serves concurrently.
 
@@ -108,6 +131,11 @@
         rate: Limit on the requests a second that are granted slots.
         rate_timer: Grants slots once the rate allows it, or None.
         is_granting: Whether free slots are being granted to queued requests.
+        work: What the requests that run are expected to take.
+        uses_work: Whether waits are estimated from `work` rather than from
+            averages; set once the target tells how slow it is.
+        full_at: Clock seconds at which all slots were last in use.
+        on_vacancy: Called when a slot is released for which nothing waits.
     """
 
     def __init__(self, clock: Clock):
@@ -122,6 +150,11 @@
         self.rate = RateLimit()
         self.rate_timer = None
         self.is_granting = False
+        self.work = Workload()
+        self.uses_work = False
+        self.full_at = -math.inf
+        self.returns = ReturnLine()
+        self.on_vacancy: Callable[[], None] = _ignore
 
     def resize(self, capacity: int) -> None:
         """Sets the number of slots and admits queued requests to new ones."""
@@ -137,26 +170,61 @@
         self.rate.set(requests_per_s, self.clock.seconds())
         self._grant()
 
+    def target_told(self, slowness: float) -> None:
+        """Records how slow the target says it is; 1 is as usual."""
+        self.uses_work = True
+        self.work.speed.tell(slowness, self.clock.seconds())
+
     def expected_wait(self, rank: int) -> float:
         """Returns the seconds that a request of a rank is expected to wait."""
-        queued_ahead = sum(
-            1 for e in self.heap if e[-1].is_waiting and e[0] <= rank
-        )
-        rate_wait_s = self.rate.wait_s(self.clock.seconds(), queued_ahead)
-        return max(rate_wait_s, self._slot_wait(queued_ahead))
-
-    def _slot_wait(self, queued_ahead: int) -> float:
-        excess = max(0, self.taken + queued_ahead + 1 - self.capacity)
+        ahead = [e[-1] for e in self.heap if e[-1].is_waiting and e[0] <= rank]
+        rate_wait_s = self.rate.wait_s(self.clock.seconds(), len(ahead))
+        return max(rate_wait_s, self._slot_wait(ahead))
+
+    def _slot_wait(self, ahead: list["_Waiter"]) -> float:
+        if self.uses_work:
+            classes = [waiter.request.cost_class for waiter in ahead]
+            now = self.clock.seconds()
+            return self.work.wait_s(now, self.capacity, classes)
+        excess = max(0, self.taken + len(ahead) + 1 - self.capacity)
         return excess * self.service_time_s / max(1, self.capacity)
 
-    def service_time(self, route: str) -> float:
-        """Returns the average service time of a route, in seconds."""
+    def service_time(self, route: str, body_bytes: int = 0) -> float:
+        """Returns the expected service time of a request, in seconds.
+
+        Args:
+            route: Its route.
+            body_bytes: Size of its body; 0 when it is unknown.
+        """
+        if self.uses_work:
+            return self.work.service_s(
+                class_of(route, body_bytes), self.clock.seconds()
+            )
         return self.service_time_by_route.get(route, self.service_time_s)
 
-    def retry_after(self) -> float:
-        """Returns the seconds after which a slot is expected to be free."""
-        rate_wait_s = self.rate.wait_s(self.clock.seconds(), self.queued)
-        return max(MIN_RETRY_AFTER_S, rate_wait_s, self._slot_wait(self.queued))
+    @property
+    def average_service_time_s(self) -> float:
+        """Expected service time over all routes, in seconds."""
+        if self.uses_work and self.work.costs.overall.mean_s:
+            slowness = self.work.speed.now(self.clock.seconds())
+            return self.work.costs.overall.mean_s * slowness
+        return self.service_time_s
+
+    def retry_after(self, deadline: float = math.inf) -> float:
+        """Returns the seconds after which a refused caller is to return.
+
+        Args:
+            deadline: Clock seconds after which it has too little time left.
+        """
+        now = self.clock.seconds()
+        rate_wait_s = self.rate.wait_s(now, self.queued)
+        waiting = [e[-1] for e in self.heap if e[-1].is_waiting]
+        wait_s = max(MIN_RETRY_AFTER_S, rate_wait_s, self._slot_wait(waiting))
+        if not self.uses_work:
+            return wait_s
+        pace_s = self.average_service_time_s / max(1, self.capacity)
+        after_s = self.returns.next_s(now, wait_s, pace_s, deadline)
+        return max(MIN_RETRY_AFTER_S, after_s)
 
     def acquire(
         self, deadline: float, request: SlotRequest | None = None
@@ -168,8 +236,8 @@
             request: The request for it, or None for one with defaults.
 
         Returns:
-            Deferred that fires when the slot is acquired; fails with
-            `SlotError` when the request would not finish in time.
+            Deferred that fires with the run when the slot is acquired; fails
+            with `SlotError` when the request would not finish in time.
         """
         if request is None:
             request = SlotRequest(deadline=deadline)
@@ -177,27 +245,43 @@
             if self._lacks_time(request):
                 return fail(SlotError("too little time is left"))
             if self.rate.take(self.clock.seconds()):
-                self.taken += 1
-                return succeed(None)
+                return succeed(self._take(request))
         refusal = self._rejection_detail(request)
         if refusal:
             return fail(SlotError(refusal))
+        if self.queued >= self.capacity * MAX_QUEUE_PER_SLOT:
+            giving_way = self._less_urgent_than(request)
+            self._refuse(giving_way, "a more urgent request came")
         return self._queue(request)
 
+    def _take(self, request: SlotRequest) -> Run:
+        self.taken += 1
+        now = self.clock.seconds()
+        if self.taken >= self.capacity:
+            self.full_at = now
+        return self.work.start(request.cost_class, now)
+
     def _lacks_time(self, request: SlotRequest) -> bool:
         service_time_s = self.service_time_by_route.get(request.route, 0.0)
+        if self.uses_work and service_time_s:
+            service_time_s = self._service_time_of(request)
         left_s = request.deadline - self.clock.seconds()
         return left_s < MIN_TIME_FACTOR * service_time_s
 
+    def _service_time_of(self, request: SlotRequest) -> float:
+        return self.service_time(request.route, request.body_bytes)
+
     def _rejection_detail(self, request: SlotRequest) -> str:
         now = self.clock.seconds()
         if request.deadline <= now:
             return "no time left"
-        if self.queued >= self.capacity * MAX_QUEUE_PER_SLOT:
+        is_full = self.queued >= self.capacity * MAX_QUEUE_PER_SLOT
+        if is_full and self._less_urgent_than(request) is None:
             return "queue is full"
         wait_s = self.expected_wait(request.rank)
-        service_time_s = self.service_time(request.route)
-        is_long = wait_s > MAX_SPILL_WAIT_FACTOR * self.service_time_s
+        service_time_s = self._service_time_of(request)
+        average_s = self.average_service_time_s
+        is_long = wait_s > MAX_SPILL_WAIT_FACTOR * average_s
         if (
             request.spill_deadline
             and is_long
@@ -208,15 +292,48 @@
             return "queue is too long for the time left"
         if (
             not request.soft_deadline
-            or service_time_s < SHORT_REQUEST_FACTOR * self.service_time_s
+            or service_time_s < SHORT_REQUEST_FACTOR * average_s
         ):
             return ""
         if likely_late(now, wait_s, service_time_s, request.soft_deadline):
             return "queue is too long to be prompt"
         return ""
 
+    def _less_urgent_than(self, request: SlotRequest) -> "_Waiter | None":
+        """Returns the queued request that gives way to a more urgent one.
+
+        Of those of the least urgent rank, the one that costs most goes; None
+        if none is less urgent.
+        """
+        if not self.uses_work:
+            return None
+        entry = max(
+            (e for e in self.heap if e[-1].is_waiting),
+            key=lambda e: (e[0], e[1], self._service_time_of(e[-1].request)),
+        )
+        return entry[-1] if entry[0] > request.rank else None
+
+    def _refuse_hopeless(self) -> None:
+        """Refuses queued requests for which no slot is expected in time."""
+        now = self.clock.seconds()
+        first_s = self.work.wait_s(now, self.capacity, ())
+        ahead_s = 0.0
+        for entry in sorted(e for e in self.heap if e[-1].is_waiting):
+            waiter = entry[-1]
+            if not waiter.is_waiting:
+                continue
+            left_s = waiter.timer.getTime() - now
+            if first_s + ahead_s > HOPELESS_FACTOR * left_s:
+                self._refuse(waiter, "no slot is expected in time")
+                continue
+            ahead_s += self._service_time_of(waiter.request) / self.capacity
+
+    def _refuse(self, waiter: "_Waiter", detail: str) -> None:
+        self._dequeue(waiter)
+        waiter.granted.errback(SlotError(detail))
+
     def _queue(self, request: SlotRequest) -> Deferred:
-        service_time_s = self.service_time(request.route)
+        service_time_s = self._service_time_of(request)
         max_wait_s = (
             request.deadline
             - MIN_TIME_FACTOR * service_time_s
@@ -227,6 +344,9 @@
         waiter.timer = self.clock.callLater(left_s, self._expire, waiter)
         self._push(waiter, late=False)
         self.queued += 1
+        if self.uses_work:
+            self.full_at = self.clock.seconds()
+            self._refuse_hopeless()
         self._await_token()
         return waiter.granted
 
@@ -242,7 +362,10 @@
         heapq.heappush(self.heap, entry)
 
     def release(
-        self, service_time_s: float | None = None, route: str = ""
+        self,
+        service_time_s: float | None = None,
+        route: str = "",
+        run: Run | None = None,
     ) -> None:
         """Releases a slot.
 
@@ -250,7 +373,10 @@
             service_time_s: Seconds for which it was held, to be averaged;
                 None when the request did not complete.
             route: Name of the request's route.
+            run: What `acquire` fired with.
         """
+        if run is not None:
+            self.work.end(run, self.clock.seconds(), service_time_s)
         if service_time_s is not None:
             self.service_time_s += SERVICE_TIME_WEIGHT * (
                 service_time_s - self.service_time_s
@@ -261,6 +387,8 @@
             )
         self.taken -= 1
         self._grant()
+        if self.taken < self.capacity and not self.queued:
+            self.on_vacancy()
 
     def _grant(self) -> None:
         # A request that is refused after its wait releases its slot before
@@ -285,8 +413,7 @@
                 self._push(waiter, late=late)
                 break
             self._dequeue(waiter)
-            self.taken += 1
-            waiter.granted.callback(None)
+            waiter.granted.callback(self._take(waiter.request))
 
         self._await_token()
 
@@ -306,8 +433,8 @@
     def _will_be_late(self, request: SlotRequest) -> bool:
         if not request.soft_deadline:
             return False
-        service_time_s = self.service_time(request.route)
-        if service_time_s < SHORT_REQUEST_FACTOR * self.service_time_s:
+        service_time_s = self._service_time_of(request)
+        if service_time_s < SHORT_REQUEST_FACTOR * self.average_service_time_s:
             return False
         return self.clock.seconds() + service_time_s > request.soft_deadline
 
@@ -315,8 +442,7 @@
         # Ordered only by soft deadline, requests that will miss theirs would
         # delay those behind them until these miss theirs as well.
         if self.queued > MAX_LATE_QUEUE_PER_SLOT * self.capacity:
-            self._dequeue(waiter)
-            waiter.granted.errback(SlotError("too late to be prompt"))
+            self._refuse(waiter, "too late to be prompt")
             return
         self._push(waiter, late=True)
 
@@ -331,5 +457,4 @@
             self._dequeue(waiter)
 
     def _expire(self, waiter: _Waiter) -> None:
-        self._dequeue(waiter)
-        waiter.granted.errback(SlotError("no slot in time"))
+        self._refuse(waiter, "no slot in time")
--- a/src/fulmarrudder/distribution/codec.py
+++ b/src/fulmarrudder/distribution/codec.py
@@ -20,6 +20,7 @@
     Snapshot,
     SourceUpdate,
     UpToDate,
+    Vacancy,
 )
 from fulmarrudder.model import (
     Brake,
@@ -44,6 +45,7 @@
     document=Document,
     change=ConfigChange,
     source=SourceUpdate,
+    vacancy=Vacancy,
 )
 FACT_KINDS = Kinds(
     presence=Presence,
--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -30,6 +30,7 @@
 from fulmarrudder.distribution.link import Link
 from fulmarrudder.distribution.message import (
     PROTOCOL,
+    VACANCY_PROTOCOL,
     ConfigChange,
     Document,
     FactBatch,
@@ -39,6 +40,7 @@
     Role,
     SourceUpdate,
     UpToDate,
+    Vacancy,
 )
 from fulmarrudder.distribution.outbox import Outbox
 from fulmarrudder.distribution.spread import (
@@ -122,6 +124,8 @@
             has read from the source of versions.
         on_change: Called with a change of the configuration that another node
             of this data centre sends.
+        on_vacancy: Called with the id of a node of this data centre and the
+            free slot that it tells.
         link_bytes_per_s: Speed of this node's network link.
         evidence_readers: Returns the ids of the nodes that read evidence.
             Gateways read it as well.
@@ -152,6 +156,7 @@
         on_own_departure: Callable[[Presence], None] = ignore,
         on_source_update: Callable[[SourceUpdate], None] = ignore,
         on_change: Callable[[ConfigChange], None] = ignore,
+        on_vacancy: Callable[[str, Vacancy], None] = ignore,
         link_bytes_per_s: float = math.inf,
     ):
         self.clock = clock
@@ -166,6 +171,7 @@
         self.on_own_departure = on_own_departure
         self.on_source_update = on_source_update
         self.on_change = on_change
+        self.on_vacancy = on_vacancy
         self.link_bytes_per_s = link_bytes_per_s
         self.evidence_readers = evidence_readers
         self.topology = Topology()
@@ -295,6 +301,24 @@
         self._send_to_data_centre(data)
         return True
 
+    def tell_vacancy(self, node: str, vacancy: Vacancy) -> bool:
+        """Tells a node of this data centre of a free slot.
+
+        Args:
+            node: Its id.
+            vacancy: The free slot.
+
+        Returns:
+            Whether there is a link to it by which it can be told.
+        """
+        link = self.links.get(node)
+        if link is None or link.data_centre != self.data_centre:
+            return False
+        if link.protocol < VACANCY_PROTOCOL:
+            return False
+        link.send(vacancy)
+        return True
+
     def _send_to_data_centre(self, data: bytes) -> None:
         for link in self._readers_of_updates():
             link.send_encoded(data)
@@ -546,6 +570,10 @@
     def _(self, message: ConfigChange, link: Link) -> None:
         self.on_change(message)
 
+    @_handle.register
+    def _(self, message: Vacancy, link: Link) -> None:
+        self.on_vacancy(link.node, message)
+
     def _has_right_direction(self, link: Link) -> bool:
         """Returns whether the node with the lower id dialled the link."""
         return link.dialled == (self.node < link.node)
--- a/src/fulmarrudder/distribution/message.py
+++ b/src/fulmarrudder/distribution/message.py
@@ -7,9 +7,10 @@
 from fulmarrudder.model import Fact
 from fulmarrudder.state_machine import State
 
-# Nodes of protocol 1 take `SourceUpdate` and `ConfigChange`; those of protocol 0
-# close a link on which a message of an unknown kind arrives.
-PROTOCOL = 1
+# Nodes of protocol 1 take `SourceUpdate` and `ConfigChange`, those of protocol 2
+# `Vacancy`. A node closes a link on which a message of an unknown kind arrives.
+PROTOCOL = 2
+VACANCY_PROTOCOL = 2
 
 
 class Role(enum.Enum):
@@ -219,6 +220,19 @@
     records: tuple[SourceRecord, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Vacancy:
+    """Tells that the target beside the sender has a slot free.
+
+    Attributes:
+        slots: Free slots.
+        slowness: How long work takes there, in percent of the average.
+    """
+
+    slots: int
+    slowness: int
+
+
 Message = (
     Hello
     | PathUpdate
@@ -233,4 +247,5 @@
     | Document
     | ConfigChange
     | SourceUpdate
+    | Vacancy
 )
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -27,7 +27,11 @@
 from fulmarrudder.call.start import START_S
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.distribution import Dialer, Document, Gossip
-from fulmarrudder.distribution.message import ConfigChange, SourceUpdate
+from fulmarrudder.distribution.message import (
+    ConfigChange,
+    SourceUpdate,
+    Vacancy,
+)
 from fulmarrudder.membership import (
     Announcement,
     DepartedTarget,
@@ -74,6 +78,7 @@
 # Long, because connections show sooner than missing announcements that a
 # target has stopped.
 ANNOUNCEMENT_TIMEOUT_S = 15.0
+VACANCIES_METRIC = "fulmarrudder_vacancies_total"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -249,6 +254,7 @@
             active_version=lambda: self.version,
             on_source_update=on_source_update,
             on_change=on_change,
+            on_vacancy=self._vacancy_told,
             link_bytes_per_s=settings.link_bytes_per_s,
         )
         self.host = HostPipeline(
@@ -264,6 +270,7 @@
             link_bytes_per_s=settings.link_bytes_per_s,
             on_target_leaving=self.target_leaves,
         )
+        self.host.vacancies.tell = self._tell_vacancy
         self.entry = EntryPipeline(
             clock=reactor,
             pool=self.pool,
@@ -663,6 +670,19 @@
         )
         self.on_version_told(version)
 
+    def _tell_vacancy(self, node: str, slots: int, slowness: float) -> bool:
+        """Tells a node of this data centre of free slots of the target."""
+        vacancy = Vacancy(slots=slots, slowness=round(slowness * 100))
+        is_told = self.gossip.tell_vacancy(node, vacancy)
+        if is_told:
+            self.metrics.count(VACANCIES_METRIC, ("event", "told"))
+        return is_told
+
+    def _vacancy_told(self, node: str, vacancy: Vacancy) -> None:
+        self.metrics.count(VACANCIES_METRIC, ("event", "heard"))
+        now = self.clock.seconds()
+        self.balancer.vacancies.told(node, vacancy.slowness / 100, now)
+
     def _on_new_fact(self, fact: Fact) -> None:
         if isinstance(fact, Evidence):
             self.monitor.add_evidence(fact)
