A circuit breaker beside the target, one more try after a closed connection

Change: three lost connections in a row make the node beside the target refuse as unreachable, which ejects it; one request each 0.25 s tries it. A safe request whose target closed the connection is sent once more, within the retry budget. An endpoint that tells its waits may be asked as the third one unless it is known to be full. All of it where targets tell how long work takes.

--- a/src/fulmarrudder/call/codec.py
+++ b/src/fulmarrudder/call/codec.py
@@ -16,6 +16,7 @@
     REACHED_TARGET_HEADER,
     REASON_HEADER,
     RETRY_AFTER_HEADER,
+    RUN_ENDED_HEADER,
     BodyEnd,
     BodyPart,
     Continue,
@@ -423,6 +424,8 @@
         fields.append((b"content-type", b"application/json"))
     if refusal.reached_target:
         fields.append((REACHED_TARGET_HEADER, b"yes"))
+    if refusal.run_ended:
+        fields.append((RUN_ENDED_HEADER, b"yes"))
     retry_after_s = refusal.retry_after_s
     if (
         retry_after_s is None
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -606,7 +606,9 @@
             presence
             for presence in eligible
             if may_accept(
-                self.balancer.slot_state(presence, now), call.capacity_refusals
+                self.balancer.slot_state(presence, now),
+                call.capacity_refusals,
+                tells_work=self.balancer.tells_work(presence),
             )
         )
 
--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -18,6 +18,7 @@
     REACHED_TARGET_HEADER,
     REASON_HEADER,
     RETRY_AFTER_HEADER,
+    RUN_ENDED_HEADER,
     WORK_HEADER,
     Field,
     Headers,
@@ -222,6 +223,7 @@
             ran=Ran(ran.decode("latin-1")),
             retry_after_s=_seconds(head.headers.get(RETRY_AFTER_HEADER)),
             reached_target=head.headers.get(REACHED_TARGET_HEADER) == YES,
+            run_ended=head.headers.get(RUN_ENDED_HEADER) == YES,
         )
     except ValueError:
         return None
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -71,7 +71,7 @@
 from fulmarrudder.membership import Announcement, FactStore, LocalTarget
 from fulmarrudder.model import Condition, Strike
 from fulmarrudder.observe import EventLog, Metrics, logs
-from fulmarrudder.placement import Run, class_of
+from fulmarrudder.placement import Circuit, Run, class_of
 
 # A request cancelled sooner than this is not counted: its duration says nothing
 # about the target's latency.
@@ -82,6 +82,9 @@
 PROBE_S = 0.1
 # Validities of answers that the target wrote to the request.
 TOLD_BY_TARGET = frozenset({AnswerValidity.VALID, AnswerValidity.NOT_RUN})
+CIRCUIT_OPEN = not_run(
+    RefusalReason.UNREACHABLE, "target closes its connections"
+)
 # A rank that goes behind all others.
 LEAST_URGENT = 1_000_000
 NO_TIME_LEFT = not_run(RefusalReason.DEADLINE, "no time left", 504)
@@ -145,6 +148,7 @@
         intake: Limits the bodies that other nodes send at once.
         advice: Applies what the target tells of itself in its answers.
         vacancies: Tells other nodes of free slots.
+        circuit: Whether the target answers at all.
     """
 
     def __init__(
@@ -191,12 +195,9 @@
             report=self.report,
             on_leaving=on_target_leaving or local_target.leave,
         )
+        self.circuit = Circuit()
         self.vacancies = VacancyReporter(
-            clock=clock,
-            slots=self.slots,
-            is_open=lambda: (
-                not self.leaving and local_target.condition is Condition.READY
-            ),
+            clock=clock, slots=self.slots, is_open=self._takes_requests
         )
 
     def apply_announcement(self) -> None:
@@ -224,7 +225,10 @@
         Returns:
             The target's answer, or an answer that carries a refusal.
         """
+        asked_at = self.clock.seconds()
         refusal = self.check_request(request)
+        if refusal is None and not self._may_try_target(asked_at):
+            refusal = CIRCUIT_OPEN
         if refusal is not None:
             return _refusal_to_node(refusal)
         slot_request = SlotRequest(
@@ -235,9 +239,9 @@
             spill_deadline=request.spill_deadline,
             body_bytes=request.head.length,
         )
-        asked_at = self.clock.seconds()
         granted = self.slots.acquire(request.deadline, slot_request)
-        if not granted.called:
+        is_queued = not granted.called
+        if is_queued:
             # Queued, so it is likely to run: receive its body meanwhile.
             send_continue()
         try:
@@ -249,6 +253,8 @@
         )
         # The target or this node may have changed state during the wait.
         refusal = self.check_request(request)
+        if refusal is None and is_queued and self._avoids_target():
+            refusal = CIRCUIT_OPEN
         if refusal is not None:
             self.slots.release(run=run)
             return _refusal_to_node(refusal)
@@ -269,6 +275,16 @@
         after_s = self.slots.retry_after(request.deadline)
         return not_run(reason, detail, retry_after_s=after_s)
 
+    def _takes_requests(self) -> bool:
+        is_ready = self.local_target.condition is Condition.READY
+        return is_ready and not self.leaving and not self.circuit.is_open
+
+    def _avoids_target(self) -> bool:
+        return self.slots.uses_work and self.circuit.is_open
+
+    def _may_try_target(self, now: float) -> bool:
+        return not self.slots.uses_work or self.circuit.admits(now)
+
     @property
     def load(self) -> int:
         """Number of requests that run or wait at this node."""
@@ -377,6 +393,7 @@
         )
         if isinstance(reply, Refusal):
             return _refusal_to_node(reply)
+        self.circuit.answered()
         head, exchange = reply.head, reply.exchange
         validity = check_answer(head, request.head, self.header_names)
         if validity in TOLD_BY_TARGET:
@@ -442,9 +459,11 @@
             if body.lost:
                 return broken("request body was cut off")
             now = self.clock.seconds()
+            self.circuit.lost(now)
             self._tally(request, started_at, now, failed=True)
             ensureDeferred(self._probe(request, target))
-            return broken(f"target closed: {error}")
+            refusal = broken(f"target closed: {error}")
+            return dataclasses.replace(refusal, run_ended=self.slots.uses_work)
 
     async def _send(
         self,
--- a/src/fulmarrudder/call/load_balancer.py
+++ b/src/fulmarrudder/call/load_balancer.py
@@ -244,14 +244,15 @@
                 best, best_s = presence, usual_s * offer.slowness
         return best
 
+    def tells_work(self, presence: Presence) -> bool:
+        """Returns whether an endpoint tells how long requests wait there."""
+        stats = self.endpoint_stats.get((presence.node, presence.incarnation))
+        return stats is not None and stats.wait_s is not None
+
     def wants_vacancies_of(self, presence: Presence) -> bool:
         """Returns whether an endpoint is to tell this node of free slots."""
-        stats = self.endpoint_stats.get((presence.node, presence.incarnation))
-        return (
-            stats is not None
-            and stats.wait_s is not None
-            and presence.data_centre == self.data_centre
-        )
+        is_near = presence.data_centre == self.data_centre
+        return is_near and self.tells_work(presence)
 
     def _sample(self, eligible: list[Presence]) -> list[Presence]:
         """Samples the endpoints to compare, local ones among them."""
--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -10,6 +10,7 @@
 LOAD_HEADER = b"fulmarrudder-load"
 WORK_HEADER = b"fulmarrudder-work"
 ASKER_HEADER = b"fulmarrudder-asker"
+RUN_ENDED_HEADER = b"fulmarrudder-ended"
 RETRY_AFTER_HEADER = b"retry-after"
 REASON_HEADER = b"fulmarrudder-reason"
 INTERNAL_PREFIX = b"fulmarrudder-"
@@ -171,6 +172,7 @@
             default of the status.
         reached_target: Whether the request was sent to a target, even if the
             target did not execute it.
+        run_ended: Whether the target is known not to be at work on it.
     """
 
     status: int
@@ -179,3 +181,4 @@
     detail: str = ""
     retry_after_s: float | None = None
     reached_target: bool = False
+    run_ended: bool = False
--- a/src/fulmarrudder/call/retry.py
+++ b/src/fulmarrudder/call/retry.py
@@ -149,7 +149,9 @@
             budget.tokens = min(budget.tokens, limit)
 
 
-def may_accept(slot_state: SlotState, capacity_refusals: int) -> bool:
+def may_accept(
+    slot_state: SlotState, capacity_refusals: int, *, tells_work: bool = False
+) -> bool:
     """Returns whether an endpoint is likely enough to accept a request.
 
     Each refused attempt costs processor time on two nodes while capacity is
@@ -159,10 +161,12 @@
         slot_state: State of the endpoint's slots, by its last load report.
         capacity_refusals: Nodes that have refused the request for lack of
             capacity.
+        tells_work: Whether the endpoint tells how long a request waits there,
+            so that it is known to be full when it is.
     """
     if not capacity_refusals:
         return True
-    if capacity_refusals < MAX_SPILL_ATTEMPTS:
+    if capacity_refusals < MAX_SPILL_ATTEMPTS + tells_work:
         return slot_state is not SlotState.FULL
     return slot_state is SlotState.FREE
 
@@ -229,6 +233,9 @@
     refusal = ending.refusal
     is_final = refusal.reason in NON_RETRIABLE_REASONS
     retriable = refusal.ran is Ran.NO and not is_final
+    if refusal.run_ended:
+        # Once only: it may be the request that makes targets crash.
+        retriable |= attempt.repeatable and attempt.target_attempts <= 1
     return _retry_or(RetryDecision.REFUSE, retriable, attempt)
 
 
--- a/src/fulmarrudder/placement/__init__.py
+++ b/src/fulmarrudder/placement/__init__.py
@@ -3,6 +3,7 @@
 Nothing here knows of sockets or of the encoding of messages.
 """
 
+from fulmarrudder.placement.circuit import Circuit
 from fulmarrudder.placement.cost import (
     CostClass,
     Costs,
@@ -16,6 +17,7 @@
 
 __all__ = [
     "Askers",
+    "Circuit",
     "CostClass",
     "Costs",
     "Histogram",
