--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -168,7 +168,7 @@
     load = load_field(report.load, report.service_time_s)
     if report.wait_s is None:
         return (load,)
-    work = b"%d/%d" % (report.wait_s * 1000, report.slowness * 100)
+    work = b"%d/%d" % (report.wait_s * 1000, round(report.slowness * 100))
     return load, (WORK_HEADER, work)
 
 
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -16,6 +16,7 @@
     SourceRecord,
     SourceUpdate,
     UpToDate,
+    Vacancy,
 )
 from fulmarrudder.log import RawRecord
 from fulmarrudder.model import (
@@ -291,6 +292,7 @@
             SourceRecord(key="rollout/caja", value=None, offset=7),
         ),
     ),
+    Vacancy(slots=2, slowness=140),
 )
 ANSWERS = (
     Status(
