An open circuit counts as full; slow answers and work left are told

Change: such a target reports no room, an ejected endpoint counts as full; event target-slow, gauges of slowness and work left, a count of vacancies used.

--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -72,6 +72,7 @@
 from fulmarrudder.model import Condition, Strike
 from fulmarrudder.observe import EventLog, Metrics, logs
 from fulmarrudder.placement import Circuit, Run, class_of
+from fulmarrudder.placement.circuit import PROBE_PERIOD_S
 
 # A request cancelled sooner than this is not counted: its duration says nothing
 # about the target's latency.
@@ -302,10 +303,14 @@
             service_time_s = slots.service_time(route)
             return LoadReport(load=self.load, service_time_s=service_time_s)
         work, now = slots.work, self.clock.seconds()
+        load, wait_s = self.load, slots.expected_wait(LEAST_URGENT)
+        if self.circuit.is_open:
+            # A target that fails fast is idle, and has no room all the same.
+            load, wait_s = max(load, slots.capacity), PROBE_PERIOD_S
         return LoadReport(
-            load=self.load,
+            load=load,
             service_time_s=work.usual_s(class_of(route, body_bytes)),
-            wait_s=slots.expected_wait(LEAST_URGENT),
+            wait_s=wait_s,
             slowness=work.speed.now(now) / work.speed.average,
         )
 
--- a/src/fulmarrudder/call/host_report.py
+++ b/src/fulmarrudder/call/host_report.py
@@ -5,8 +5,11 @@
 from fulmarrudder.call.slots import Slots
 from fulmarrudder.clock import Clock
 from fulmarrudder.observe import EventLog, StageHistograms
+from fulmarrudder.placement import class_of
 
 NO_ID = "-"
+# An answer that takes this many times the mean of its class is reported.
+SLOW_FACTOR = 3.0
 RUN_LATE_REASONS = frozenset({RefusalReason.DEADLINE})
 
 
@@ -83,6 +86,8 @@
             failed: Whether it counts as a failure of the target.
         """
         self.time_at_target.add(request.route, seconds)
+        if self.slots.uses_work and not failed:
+            self._report_if_slow(request, seconds)
         if failed:
             self.target_event(
                 "target-failed",
@@ -91,6 +96,25 @@
                 left_ms=to_ms(request.deadline - self.clock.seconds()),
             )
 
+    def _report_if_slow(self, request, seconds: float) -> None:
+        """Reports an answer that took far longer than its class usually does."""
+        work, now = self.slots.work, self.clock.seconds()
+        cost_class = class_of(request.route, request.head.length)
+        usual_s = work.usual_s(cost_class)
+        if seconds < SLOW_FACTOR * usual_s:
+            return
+        self.target_event(
+            "target-slow",
+            request,
+            target_ms=to_ms(seconds),
+            usual_ms=to_ms(usual_s),
+            p99_ms=to_ms(work.costs.histogram_of(cost_class).quantile_s(0.99)),
+            slowness=round(work.speed.now(now), 2),
+            told=round(work.speed.told_now(now), 2),
+            taken=self.slots.taken,
+            queued=self.slots.queued,
+        )
+
     def target_event(self, event: str, request, **fields) -> None:
         """Reports what a request revealed about the target.
 
@@ -139,6 +163,8 @@
             "rank": request.rank,
             "left_ms": to_ms(request.deadline - now),
         }
+        if slots.uses_work:
+            fields["slowness"] = round(slots.work.speed.now(now), 2)
         if request.soft_deadline:
             fields["soft_left_ms"] = to_ms(request.soft_deadline - now)
         if request.spill_deadline:
--- a/src/fulmarrudder/call/load_balancer.py
+++ b/src/fulmarrudder/call/load_balancer.py
@@ -25,6 +25,7 @@
 from fulmarrudder.observe import EventLog, Metrics
 from fulmarrudder.placement import Vacancies
 
+VACANCIES_METRIC = "fulmarrudder_vacancies_total"
 EJECT_AFTER_FAILURES = 3
 BASE_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
@@ -202,6 +203,7 @@
             if offered is not None:
                 self.basis = "vacancy"
                 self.vacancies.use(offered.node)
+                self.events.metrics.count(VACANCIES_METRIC, ("event", "used"))
                 return offered
         return best.presence
 
@@ -399,6 +401,8 @@
     def slot_state(self, presence: Presence, now: float) -> SlotState:
         """Returns whether an endpoint has a free slot, by its last report."""
         stats = self._stats_for(presence, now)
+        if stats.wait_s is not None and stats.ejected_until > now:
+            return SlotState.FULL
         if self.vacancies.offer_of(presence.node, now) is not None:
             return SlotState.FREE
         if now - stats.reported_at > LOAD_REPORT_TTL_S:
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -211,6 +211,13 @@
             return self.work.costs.overall.mean_s * slowness
         return self.service_time_s
 
+    def work_left_s(self) -> float:
+        """Returns the seconds of work of all requests that run or wait."""
+        waiting = [
+            e[-1].request.cost_class for e in self.heap if e[-1].is_waiting
+        ]
+        return self.work.total_s(self.clock.seconds(), waiting)
+
     def retry_after(self, deadline: float = math.inf) -> float:
         """Returns the seconds after which a refused caller is to return.
 
--- a/src/fulmarrudder/node/gauges.py
+++ b/src/fulmarrudder/node/gauges.py
@@ -26,6 +26,10 @@
         ),
         "fulmarrudder_log_lines_dropped_total": logs.dropped_lines(),
     }
+    slots = node.host.slots
+    if slots.uses_work:
+        values["fulmarrudder_target_slowness"] = slots.work.speed.now(now)
+        values["fulmarrudder_work_left_seconds"] = slots.work_left_s()
     samples = (
         Sample(name=name, labels=(), value=value)
         for name, value in values.items()
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -24,6 +24,7 @@
     RouteChange,
     RouteTable,
 )
+from fulmarrudder.call.load_balancer import VACANCIES_METRIC
 from fulmarrudder.call.start import START_S
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.distribution import Dialer, Document, Gossip
@@ -78,7 +79,6 @@
 # Long, because connections show sooner than missing announcements that a
 # target has stopped.
 ANNOUNCEMENT_TIMEOUT_S = 15.0
-VACANCIES_METRIC = "fulmarrudder_vacancies_total"
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/tests/call/test_placement.py
+++ b/tests/call/test_placement.py
@@ -1,11 +1,13 @@
 """Slots, balancer and hops use costs, work left and vacancies."""
 
+import dataclasses
 import random
 
 import pytest
 from twisted.internet.task import Clock
 
 from fulmarrudder.call.advice import parse_slowness
+from fulmarrudder.call.ending import Declined
 from fulmarrudder.call.endpoint_stats import LoadReport, SlotState
 from fulmarrudder.call.errors import SlotError
 from fulmarrudder.call.header_names import HeaderNames
@@ -17,16 +19,27 @@
 )
 from fulmarrudder.call.load_balancer import LoadBalancer
 from fulmarrudder.call.message import (
+    BodyEnd,
     Framing,
     Headers,
+    Ran,
+    RefusalReason,
     RequestHead,
     ResponseHead,
 )
-from fulmarrudder.call.retry import may_accept
+from fulmarrudder.call.refusals import broken
+from fulmarrudder.call.retry import (
+    RetryContext,
+    RetryDecision,
+    decide_retry,
+    may_accept,
+)
 from fulmarrudder.call.slots import MAX_QUEUE_PER_SLOT, SlotRequest, Slots
 from fulmarrudder.call.vacancies import VacancyReporter
+from fulmarrudder.placement.circuit import LOSSES_TO_OPEN, PROBE_PERIOD_S
 from fulmarrudder.placement.vacancy import FULL_WITHIN_S
 from tests.call.fakes import result_of
+from tests.call.test_host import Harness, refusal_in
 from tests.call.test_load_balancer import endpoint
 
 
@@ -273,3 +286,71 @@
     scene.clock.advance(1.1 * FULL_WITHIN_S)
     scene.release()
     assert scene.told == []
+
+
+class ClosingTarget(Harness):
+    """A host node whose target closes each connection without an answer."""
+
+    def __init__(self):
+        super().__init__()
+        self.host.slots.target_told(1.0)
+
+    @property
+    def exchanges(self):
+        return [c.exchange for c in self.pool.made if c.exchange is not None]
+
+    def lose_one(self):
+        _, found = self.send_request()
+        self.exchanges[-1].connection_lost()
+        return found
+
+
+def test_target_that_answers_nothing_is_tried_seldom():
+    """Targets that close at once looked idle, and drew requests."""
+    target = ClosingTarget()
+    for _ in range(LOSSES_TO_OPEN):
+        assert refusal_in(target.lose_one()).run_ended
+    _, found = target.send_request()
+    assert refusal_in(found).reason is RefusalReason.UNREACHABLE
+    assert refusal_in(found).ran is Ran.NO
+    assert len(target.exchanges) == LOSSES_TO_OPEN
+    assert target.host.load_report("deposits").load >= 1
+    target.clock.advance(PROBE_PERIOD_S)
+    _, probed = target.send_request()
+    target.exchanges[-1].receive(answered())
+    target.exchanges[-1].receive(BodyEnd())
+    _, found = target.send_request()
+    assert probed[0].refusal is None
+    assert len(target.exchanges) == LOSSES_TO_OPEN + 2
+
+
+def answered():
+    return ResponseHead(
+        status=200,
+        reason=b"OK",
+        headers=Headers(),
+        framing=Framing.LENGTH,
+        length=0,
+    )
+
+
+@pytest.mark.parametrize(
+    ("run_ended", "repeatable", "reached", "decision"),
+    [
+        (True, True, 1, RetryDecision.RETRY),
+        (True, True, 2, RetryDecision.REFUSE),
+        (True, False, 1, RetryDecision.REFUSE),
+        (False, True, 1, RetryDecision.REFUSE),
+    ],
+)
+def test_safe_request_whose_target_closed_is_sent_once_more(
+    run_ended, repeatable, reached, decision
+):
+    refusal = dataclasses.replace(broken("target closed"), run_ended=run_ended)
+    context = RetryContext(
+        repeatable=repeatable,
+        replayable=True,
+        attempts=reached,
+        target_attempts=reached,
+    )
+    assert decide_retry(Declined(refusal=refusal), context) is decision
