In a full queue the costliest gives way; a wait counts only what goes first

Change, where work is estimated: as said, and lateness is judged by a quantile of the class instead of 1.4 times the mean.

--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -52,6 +52,12 @@
 MIN_TIME_FACTOR = 0.6
 # Lower bound of the retry-after time that a refused caller gets.
 MIN_RETRY_AFTER_S = 0.02
+# A queued request of the same rank gives way in a full queue to one that costs
+# less than it by this factor: more of those are served in the same time.
+COSTLIER_FACTOR = 2.0
+# Fraction of requests of a class that are served within the time by which it is
+# judged whether a request will be late.
+JUDGED_FRACTION = 0.6
 # A queued request counts as hopeless when its expected wait exceeds the time for
 # which it may wait by this factor: the estimate is of averages.
 HOPELESS_FACTOR = 1.5
@@ -104,6 +110,11 @@
     return now + COMPLETION_MARGIN * (wait_s + service_time_s) > soft_deadline
 
 
+def _place_of(request: SlotRequest, *, late: bool) -> tuple[int, bool, float]:
+    """Returns the order of a request in the queue."""
+    return (request.rank, late, request.soft_deadline)
+
+
 @dataclasses.dataclass(slots=True)
 class _Waiter:
     """A request that waits for a slot."""
@@ -286,7 +297,7 @@
         is_full = self.queued >= self.capacity * MAX_QUEUE_PER_SLOT
         if is_full and self._less_urgent_than(request) is None:
             return "queue is full"
-        wait_s = self.expected_wait(request.rank)
+        wait_s = self._expected_wait_of(request)
         service_time_s = self._service_time_of(request)
         average_s = self.average_service_time_s
         is_long = wait_s > MAX_SPILL_WAIT_FACTOR * average_s
@@ -303,23 +314,56 @@
             or service_time_s < SHORT_REQUEST_FACTOR * average_s
         ):
             return ""
-        if likely_late(now, wait_s, service_time_s, request.soft_deadline):
+        if self._is_likely_late(request, wait_s):
             return "queue is too long to be prompt"
         return ""
 
+    def _expected_wait_of(self, request: SlotRequest) -> float:
+        """Returns the seconds that a request is expected to wait."""
+        if not self.uses_work:
+            return self.expected_wait(request.rank)
+        place = _place_of(request, late=False)
+        ahead = [
+            e[-1] for e in self.heap if e[-1].is_waiting and e[:3] <= place
+        ]
+        rate_wait_s = self.rate.wait_s(self.clock.seconds(), len(ahead))
+        return max(rate_wait_s, self._slot_wait(ahead))
+
+    def _is_likely_late(self, request: SlotRequest, wait_s: float) -> bool:
+        now = self.clock.seconds()
+        service_time_s = self._service_time_of(request)
+        if not self.uses_work:
+            return likely_late(
+                now, wait_s, service_time_s, request.soft_deadline
+            )
+        if wait_s <= MAX_LATE_WAIT_FACTOR * service_time_s:
+            return False
+        judged_s = self.work.service_s(
+            request.cost_class, now, fraction=JUDGED_FRACTION
+        )
+        done_at = now + COMPLETION_MARGIN * wait_s + judged_s
+        return done_at > request.soft_deadline
+
     def _less_urgent_than(self, request: SlotRequest) -> "_Waiter | None":
-        """Returns the queued request that gives way to a more urgent one.
+        """Returns the queued request that gives way in a full queue, or None.
 
-        Of those of the least urgent rank, the one that costs most goes; None
-        if none is less urgent.
+        It is one of the least urgent rank; of these, one that will be late, and
+        then the one that costs most.
         """
         if not self.uses_work:
             return None
-        entry = max(
-            (e for e in self.heap if e[-1].is_waiting),
-            key=lambda e: (e[0], e[1], self._service_time_of(e[-1].request)),
-        )
-        return entry[-1] if entry[0] > request.rank else None
+        cost_s = self._service_time_of(request)
+        latest, latest_key = None, (request.rank, False, cost_s)
+        for rank, late, _, _, waiter in self.heap:
+            if not waiter.is_waiting:
+                continue
+            waiter_cost_s = self._service_time_of(waiter.request)
+            if rank == request.rank and not late:
+                waiter_cost_s /= COSTLIER_FACTOR
+            key = (rank, late, waiter_cost_s)
+            if key > latest_key:
+                latest, latest_key = waiter, key
+        return latest
 
     def _refuse_hopeless(self) -> None:
         """Refuses queued requests for which no slot is expected in time."""
@@ -359,15 +403,8 @@
         return waiter.granted
 
     def _push(self, waiter: _Waiter, *, late: bool) -> None:
-        request = waiter.request
-        entry = (
-            request.rank,
-            late,
-            request.soft_deadline,
-            next(self.sequence),
-            waiter,
-        )
-        heapq.heappush(self.heap, entry)
+        place = _place_of(waiter.request, late=late)
+        heapq.heappush(self.heap, (*place, next(self.sequence), waiter))
 
     def release(
         self,
--- a/src/fulmarrudder/placement/cost.py
+++ b/src/fulmarrudder/placement/cost.py
@@ -101,6 +101,8 @@
     def quantile_s(self, fraction: float) -> float:
         """Returns the seconds that a fraction of requests does not exceed."""
         weights_from = self._accumulate()
+        if not weights_from[0]:
+            return 0.0
         above = weights_from[0] * (1 - fraction)
         for index, weight in enumerate(weights_from[1:]):
             if weight <= above:
