Other data centres are explored only where none is known nearby

Cause: one request in eight went to an endpoint that had not reported yet, two thirds of them afar, and with some seconds between two answers of a pair there always was one. Change, where targets tell their waits: only the own data centre is explored, and a refused request crosses only to an endpoint that told room.

--- a/src/fulmarrudder/call/load_balancer.py
+++ b/src/fulmarrudder/call/load_balancer.py
@@ -10,7 +10,7 @@
 import math
 import operator
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from fulmarrudder.call.contact import DataCentreContact
 from fulmarrudder.call.endpoint_stats import (
@@ -166,9 +166,7 @@
         if len(eligible) <= 1:
             self.basis = "only"
             return eligible[0] if eligible else None
-        unreported = [
-            p for p in eligible if not self._stats_for(p, now).reported_at
-        ]
+        unreported = self._unreported(eligible, now)
         explore = (
             0 < len(unreported) < len(eligible)
             and body_bytes <= EXPLORE_MAX_BODY_BYTES
@@ -207,6 +205,49 @@
                 return offered
         return best.presence
 
+    def _unreported(
+        self, eligible: list[Presence], now: float
+    ) -> list[Presence]:
+        """Returns the endpoints that are known only once they are tried.
+
+        Where targets tell how long requests wait, their own data centre is
+        known, and others are not explored: there may be many, and their bytes
+        are dear.
+        """
+        unreported = [
+            p for p in eligible if not self._stats_for(p, now).reported_at
+        ]
+        if not unreported or not self._knows_waits_nearby(eligible):
+            return unreported
+        return [p for p in unreported if p.data_centre == self.data_centre]
+
+    def _knows_waits_nearby(self, endpoints: Iterable[Presence]) -> bool:
+        return any(
+            p.data_centre == self.data_centre and self.tells_work(p)
+            for p in endpoints
+        )
+
+    def without_guesses_afar(
+        self, endpoints: tuple[Presence, ...], now: float
+    ) -> tuple[Presence, ...]:
+        """Leaves out endpoints afar that are not known to have room.
+
+        Args:
+            endpoints: Endpoints for a request that was refused elsewhere.
+            now: Clock seconds.
+
+        Returns:
+            All of them unless waits are known in this data centre.
+        """
+        if not self._knows_waits_nearby(endpoints):
+            return endpoints
+        return tuple(
+            p
+            for p in endpoints
+            if p.data_centre == self.data_centre
+            or self.slot_state(p, now) is SlotState.FREE
+        )
+
     def _ask_local_target(
         self, sampled: list[Presence], now: float, route: str, body_bytes: int
     ) -> None:
