--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -273,7 +273,8 @@
         reason = RefusalReason.OVERLOADED
         if request.spill_deadline:
             reason = RefusalReason.BUSY
-        after_s = self.slots.retry_after(request.deadline)
+        service_time_s = self.slots.service_time(request.route)
+        after_s = self.slots.retry_after(request.deadline - service_time_s)
         return not_run(reason, detail, retry_after_s=after_s)
 
     def _takes_requests(self) -> bool:
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -229,11 +229,11 @@
         ]
         return self.work.total_s(self.clock.seconds(), waiting)
 
-    def retry_after(self, deadline: float = math.inf) -> float:
+    def retry_after(self, latest: float = math.inf) -> float:
         """Returns the seconds after which a refused caller is to return.
 
         Args:
-            deadline: Clock seconds after which it has too little time left.
+            latest: Clock seconds after which it has too little time left.
         """
         now = self.clock.seconds()
         rate_wait_s = self.rate.wait_s(now, self.queued)
@@ -242,7 +242,7 @@
         if not self.uses_work:
             return wait_s
         pace_s = self.average_service_time_s / max(1, self.capacity)
-        after_s = self.returns.next_s(now, wait_s, pace_s, deadline)
+        after_s = self.returns.next_s(now, wait_s, pace_s, latest)
         return max(MIN_RETRY_AFTER_S, after_s)
 
     def acquire(
@@ -378,7 +378,8 @@
             if first_s + ahead_s > HOPELESS_FACTOR * left_s:
                 self._refuse(waiter, "no slot is expected in time")
                 continue
-            ahead_s += self._service_time_of(waiter.request) / self.capacity
+            service_time_s = self._service_time_of(waiter.request)
+            ahead_s += service_time_s / max(1, self.capacity)
 
     def _refuse(self, waiter: "_Waiter", detail: str) -> None:
         self._dequeue(waiter)
