--- a/tests/placement/fleet.py
+++ b/lab/fulmarrudder_lab/placement.py
@@ -1,6 +1,6 @@
 """A few entry nodes and targets on one clock: balancers and slots, no network.
 
-`python -m tests.placement.fleet` prints how ways of choosing compare on the same
+`python -m fulmarrudder_lab.placement` prints how ways of choosing compare on the same
 seeded arrivals; see `docs/design/placement.md`.
 """
 
@@ -94,17 +94,21 @@
 
     @property
     def total(self) -> int:
+        """Number of requests that have ended."""
         return sum(map(len, self.latencies.values()))
 
     @property
     def prompt_share(self) -> float:
+        """Share of requests answered within their objective."""
         return self.prompt / max(1, self.total)
 
     def p99_s(self) -> float:
+        """Returns the 99th percentile of the seconds until an answer."""
         every = sorted(itertools.chain(*self.latencies.values()))
         return every[int(0.99 * len(every))]
 
     def served(self, kind: str) -> float:
+        """Returns the share of a kind that was answered."""
         latencies = self.latencies[kind]
         return sum(map(math.isfinite, latencies)) / len(latencies)
 
@@ -138,6 +142,7 @@
             self.slots.on_vacancy = self.tell_vacancy
 
     def change_noise(self):
+        """Draws how slow the machine is for some time."""
         load = self.fleet.load
         is_slow = self.rng.random() < load.noise
         self.slowness = load.noise_x if is_slow else 1.0
@@ -146,6 +151,7 @@
         )
 
     def tell_vacancy(self):
+        """Tells one entry node of a free slot."""
         now = self.fleet.clock.seconds()
         if not is_needed(self.slots.full_at, now):
             return
@@ -157,6 +163,7 @@
             entry.vacancies.told(self.presence.node, told, now)
 
     def report(self, route):
+        """Returns the load report of an answer."""
         slots = self.slots
         load = slots.taken + slots.queued
         if not self.fleet.tells:
@@ -190,9 +197,10 @@
             LoadBalancer("a", random.Random(f"{seed} {i}"))
             for i in range(load.entries)
         ]
-        self.turns = [i for i in range(load.entries)]
+        self.turns = list(range(load.entries))
 
     def play(self) -> Outcome:
+        """Plays all arrivals to their end."""
         load = self.load
         end = load.length_s + max(k.deadline_s for k in load.kinds)
         arrivals = self.arrivals()
@@ -211,6 +219,7 @@
         return self.outcome
 
     def arrivals(self):
+        """Yields time, entry node, kind and cost of each request."""
         load, rng = self.load, self.arrival_rng
         mean_s = sum(k.share * k.cost_s for k in load.kinds)
         speeds = [1 / t.base for t in self.targets]
@@ -230,6 +239,7 @@
             yield now, rng.randrange(load.entries), kind, cost_s
 
     def ask(self, entry, kind, cost_s, began=None, returns=0):
+        """Begins a request, or lets a refused caller return."""
         now = self.clock.seconds()
         began = now if began is None else began
         deadline = began + kind.deadline_s
@@ -237,6 +247,7 @@
         self.attempt(state, frozenset(), 0)
 
     def attempt(self, state, tried, refusals):
+        """Sends a request to one more target."""
         entry, kind, cost_s, began, deadline, returns = state
         now = self.clock.seconds()
         presence = None
@@ -296,6 +307,7 @@
         granted.addCallbacks(run, refused)
 
     def choose(self, entry, kind, now, tried, refusals):
+        """Chooses a target in the way that is played."""
         balancer = self.balancers[entry]
         eligible = [p for p in self.presences if p.node not in tried]
         if self.way == "round robin":
@@ -328,6 +340,7 @@
         )
 
     def end(self, state, latency_s):
+        """Records the end of a request, or of a try of its caller."""
         entry, kind, cost_s, began, deadline, returns = state
         now = self.clock.seconds()
         if latency_s is None and returns < self.load.returns:
@@ -382,6 +395,7 @@
 
 
 def main():
+    """Prints a row for each pattern and way of choosing."""
     for name, load in PATTERNS.items():
         for way in WAYS:
             outcome = Fleet(load, way).play()
--- a/tests/placement/test_patterns.py
+++ b/tests/placement/test_patterns.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from tests.placement.fleet import PATTERNS, Fleet
+from fulmarrudder_lab.placement import PATTERNS, Fleet
 
 
 @pytest.mark.parametrize("pattern", PATTERNS)
