--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -33,7 +33,7 @@
     shows_no_target,
     with_earlier_attempts,
 )
-from fulmarrudder.call.endpoint_stats import LoadReport, SlotState
+from fulmarrudder.call.endpoint_stats import SlotState
 from fulmarrudder.call.errors import CallError, ConnectError, WithheldError
 from fulmarrudder.call.exchange import (
     ExchangeEnd,
@@ -192,6 +192,7 @@
             token=token,
             balancer=balancer,
         )
+        balancer.local_report = host.load_report
         self.active_config = ActiveConfig()
         self.freshness = ConfigFreshness()
         self.start_gate = StartGate(clock)
@@ -624,13 +625,16 @@
     def _filter_by_slots(
         self, eligible: tuple[Presence, ...], call: Call, now: float
     ) -> tuple[Presence, ...]:
-        return tuple(
+        accepting = tuple(
             presence
             for presence in eligible
             if may_accept(
-                self.balancer.slot_state(presence, now), call.capacity_refusals
+                self.balancer.slot_state(presence, now),
+                call.capacity_refusals,
+                tells_work=self.balancer.tells_work(presence),
             )
         )
+        return self.balancer.without_guesses_afar(accepting, now)
 
     async def _run_attempt(
         self, call: Call, attempts: RunningAttempts, attempt: Attempt
@@ -709,10 +713,7 @@
         request = call.request_to(presence, spill_deadline=spill_deadline)
         answer = await self.host.serve(request, call.body, call.send_continue)
         route = call.route.name
-        report = LoadReport(
-            load=self.host.load,
-            service_time_s=self.host.slots.service_time(route),
-        )
+        report = self.host.load_report(route, call.head.length)
         self.balancer.record_load_report(
             presence, self.clock.seconds(), report, route
         )
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -33,6 +33,7 @@
     FIRST_FAILURE_STATUS,
     with_earlier_attempts,
 )
+from fulmarrudder.call.endpoint_stats import LoadReport
 from fulmarrudder.call.errors import CallError, ConnectError, SlotError
 from fulmarrudder.call.exchange import (
     ConnectionLostError,
@@ -66,11 +67,14 @@
 from fulmarrudder.call.tally import Tallies
 from fulmarrudder.call.target_limits import TargetLimits
 from fulmarrudder.call.upstream import Connection, ConnectionPool
+from fulmarrudder.call.vacancies import VacancyReporter
 from fulmarrudder.call.warmup import WarmupTracker
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.membership import Announcement, FactStore, LocalTarget
 from fulmarrudder.model import Condition, Strike
 from fulmarrudder.observe import EventLog, Metrics, logs
+from fulmarrudder.placement import Circuit, Run, class_of
+from fulmarrudder.placement.circuit import PROBE_PERIOD_S
 
 # A request cancelled sooner than this is not counted: its duration says nothing
 # about the target's latency.
@@ -81,6 +85,11 @@
 PROBE_S = 0.1
 # Validities of answers that the target wrote to the request.
 TOLD_BY_TARGET = frozenset({AnswerValidity.VALID, AnswerValidity.NOT_RUN})
+CIRCUIT_OPEN = not_run(
+    RefusalReason.UNREACHABLE, "target closes its connections"
+)
+# A rank that goes behind all others.
+LEAST_URGENT = 1_000_000
 NO_TIME_LEFT = not_run(RefusalReason.DEADLINE, "no time left", 504)
 
 
@@ -144,6 +153,8 @@
         advice: Applies what the target tells of itself in its answers.
         cold: Limits the requests of a target that is cold.
         data_centre: Data centre of the node.
+        vacancies: Tells other nodes of free slots.
+        circuit: Whether the target answers at all.
     """
 
     def __init__(
@@ -197,6 +208,10 @@
             report=self.report,
             on_leaving=on_target_leaving or local_target.leave,
         )
+        self.circuit = Circuit()
+        self.vacancies = VacancyReporter(
+            clock=clock, slots=self.slots, is_open=self._takes_requests
+        )
 
     def apply_announcement(self) -> None:
         """Applies the slot and connection limits that the target announced.
@@ -240,7 +255,10 @@
         Returns:
             The target's answer, or an answer that carries a refusal.
         """
+        asked_at = self.clock.seconds()
         refusal = self.check_request(request)
+        if refusal is None and not self._may_try_target(asked_at):
+            refusal = CIRCUIT_OPEN
         if refusal is not None:
             return _refusal_to_node(refusal)
         slot_request = SlotRequest(
@@ -250,14 +268,15 @@
             route=request.route,
             spill_deadline=request.spill_deadline,
             tenant=self._tenant_of(request.head),
+            body_bytes=request.head.length,
         )
-        asked_at = self.clock.seconds()
         granted = self.slots.acquire(request.deadline, slot_request)
-        if not granted.called:
+        is_queued = not granted.called
+        if is_queued:
             # Queued, so it is likely to run: receive its body meanwhile.
             send_continue()
         try:
-            await granted
+            run = await granted
         except SlotError as error:
             refusal = self._overload_refusal(request, str(error))
             if self.is_evacuated:
@@ -268,10 +287,12 @@
         )
         # The target or this node may have changed state during the wait.
         refusal = self.check_request(request)
+        if refusal is None and is_queued and self._avoids_target():
+            refusal = CIRCUIT_OPEN
         if refusal is not None:
-            self.slots.release()
+            self.slots.release(run=run)
             return _refusal_to_node(refusal)
-        slot_use = _SlotUse(self, request.route)
+        slot_use = _SlotUse(self, request.route, run)
         try:
             if not request.key:
                 return await self._run(request, body, send_continue, slot_use)
@@ -290,14 +311,52 @@
         reason = RefusalReason.OVERLOADED
         if request.spill_deadline:
             reason = RefusalReason.BUSY
-        after_s = self.slots.retry_after()
+        service_time_s = self.slots.service_time(request.route)
+        after_s = self.slots.retry_after(request.deadline - service_time_s)
         return not_run(reason, detail, retry_after_s=after_s)
 
+    def _takes_requests(self) -> bool:
+        if self.leaving or self.is_evacuated or self.circuit.is_open:
+            return False
+        # A free slot of a limited target is not one that can be used now.
+        if self.slots.rate.is_limited:
+            return False
+        return self.local_target.condition is Condition.READY
+
+    def _avoids_target(self) -> bool:
+        return self.slots.uses_work and self.circuit.is_open
+
+    def _may_try_target(self, now: float) -> bool:
+        return not self.slots.uses_work or self.circuit.admits(now)
+
     @property
     def load(self) -> int:
         """Number of requests that run or wait at this node."""
         return self.slots.taken + self.slots.queued
 
+    def load_report(self, route: str, body_bytes: int = 0) -> LoadReport:
+        """Returns the load of the target, for requests of a class.
+
+        Args:
+            route: Name of their route.
+            body_bytes: Size of their bodies.
+        """
+        slots = self.slots
+        if not slots.uses_work:
+            service_time_s = slots.service_time(route)
+            return LoadReport(load=self.load, service_time_s=service_time_s)
+        work, now = slots.work, self.clock.seconds()
+        load, wait_s = self.load, slots.expected_wait(LEAST_URGENT)
+        if self.circuit.is_open:
+            # A target that fails fast is idle, and has no room all the same.
+            load, wait_s = max(load, slots.capacity), PROBE_PERIOD_S
+        return LoadReport(
+            load=load,
+            service_time_s=work.usual_s(class_of(route, body_bytes)),
+            wait_s=wait_s,
+            slowness=work.speed.now(now) / work.speed.average,
+        )
+
     def check_request(self, request: HostRequest) -> Refusal | None:
         """Returns the refusal of a request that may not run now, or None."""
         latest = self.local_target.latest
@@ -384,6 +443,7 @@
         )
         if isinstance(reply, Refusal):
             return _refusal_to_node(reply)
+        self.circuit.answered()
         head, exchange = reply.head, reply.exchange
         validity = check_answer(head, request.head, self.header_names)
         if validity in TOLD_BY_TARGET:
@@ -449,9 +509,11 @@
             if body.lost:
                 return broken("request body was cut off")
             now = self.clock.seconds()
+            self.circuit.lost(now)
             self._tally(request, started_at, now, failed=True)
             ensureDeferred(self._probe(request, target))
-            return broken(f"target closed: {error}")
+            refusal = broken(f"target closed: {error}")
+            return dataclasses.replace(refusal, run_ended=self.slots.uses_work)
 
     async def _send(
         self,
@@ -633,14 +695,16 @@
         "exchange",
         "host",
         "route",
+        "run",
         "is_held",
         "detached",
         "started_at",
     )
 
-    def __init__(self, host: HostPipeline, route: str):
+    def __init__(self, host: HostPipeline, route: str, run: Run):
         self.host = host
         self.route = route
+        self.run = run
         self.exchange: Exchange | None = None
         self.is_held = True
         self.detached = False
@@ -674,7 +738,7 @@
         if self.is_held:
             self.is_held = False
             self.host.in_flight -= 1
-            self.host.slots.release(service_time_s, self.route)
+            self.host.slots.release(service_time_s, self.route, self.run)
 
 
 def _forward_result(result, waiting: Deferred) -> None:
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -8,6 +8,8 @@
 import dataclasses
 import heapq
 import itertools
+import math
+from collections.abc import Callable
 
 from twisted.internet.defer import Deferred, fail, succeed
 
@@ -15,6 +17,13 @@
 from fulmarrudder.call.fairness import TenantTurns
 from fulmarrudder.call.rate import RateLimit
 from fulmarrudder.clock import Clock
+from fulmarrudder.placement import (
+    CostClass,
+    ReturnLine,
+    Run,
+    Workload,
+    class_of,
+)
 
 MAX_QUEUE_PER_SLOT = 4
 MAX_QUEUE_WAIT_S = 2.0
@@ -44,6 +53,15 @@
 MIN_TIME_FACTOR = 0.6
 # Lower bound of the retry-after time that a refused caller gets.
 MIN_RETRY_AFTER_S = 0.02
+# A queued request of the same rank gives way in a full queue to one that costs
+# less than it by this factor: more of those are served in the same time.
+COSTLIER_FACTOR = 2.0
+# Fraction of requests of a class that are served within the time by which it is
+# judged whether a request will be late.
+JUDGED_FRACTION = 0.6
+# A queued request counts as hopeless when its expected wait exceeds the time for
+# which it may wait by this factor: the estimate is of averages.
+HOPELESS_FACTOR = 1.5
 # Rounding may leave a fraction of a token to wait for.
 MIN_RATE_DELAY_S = 0.001
 
@@ -61,6 +79,7 @@
         spill_deadline: Clock seconds after which the request should spill
             over to another target that may have a free slot; 0 when there is
             none.
+        body_bytes: Size of its body; 0 when it is unknown.
         tenant: Name of the tenant, or None.
     """
 
@@ -69,8 +88,14 @@
     rank: int = 0
     route: str = ""
     spill_deadline: float = 0.0
+    body_bytes: int = 0
     tenant: bytes | None = None
 
+    @property
+    def cost_class(self) -> CostClass:
+        """Class of the requests that cost about as much."""
+        return class_of(self.route, self.body_bytes)
+
 
 def likely_late(
     now: float, wait_s: float, service_time_s: float, soft_deadline: float
@@ -88,6 +113,13 @@
     return now + COMPLETION_MARGIN * (wait_s + service_time_s) > soft_deadline
 
 
+def _place_of(
+    request: SlotRequest, turn: int, *, late: bool
+) -> tuple[int, bool, int, float]:
+    """Returns the order of a request in the queue."""
+    return (request.rank, late, turn, request.soft_deadline)
+
+
 @dataclasses.dataclass(slots=True)
 class _Waiter:
     """A request that waits for a slot."""
@@ -99,6 +131,10 @@
     is_waiting: bool = True
 
 
+def _ignore() -> None:
+    """Does nothing."""
+
+
 class Slots:
     """Limits the requests that the target serves concurrently.
 
@@ -113,6 +149,12 @@
         rate_timer: Grants slots once the rate allows it, or None.
         turns: Turns of the tenants whose requests wait.
         is_granting: Whether free slots are being granted to queued requests.
+        work: What the requests that run are expected to take.
+        uses_work: Whether waits are estimated from `work` rather than from
+            averages; set once the target tells how slow it is, or by a
+            configuration with tenants.
+        full_at: Clock seconds at which all slots were last in use.
+        on_vacancy: Called when a slot is released for which nothing waits.
     """
 
     def __init__(self, clock: Clock):
@@ -123,11 +165,16 @@
         self.service_time_s = DEFAULT_SERVICE_TIME_S
         self.service_time_by_route: dict[str, float] = {}
         self.heap: list[tuple[int, bool, int, float, int, _Waiter]] = []
-        self.turns = TenantTurns()
         self.sequence = itertools.count()
+        self.turns = TenantTurns()
         self.rate = RateLimit()
         self.rate_timer = None
         self.is_granting = False
+        self.work = Workload()
+        self.uses_work = False
+        self.full_at = -math.inf
+        self.returns = ReturnLine()
+        self.on_vacancy: Callable[[], None] = _ignore
 
     def resize(self, capacity: int) -> None:
         """Sets the number of slots and admits queued requests to new ones."""
@@ -143,6 +190,11 @@
         self.rate.set(requests_per_s, self.clock.seconds())
         self._grant()
 
+    def target_told(self, slowness: float) -> None:
+        """Records how slow the target says it is; 1 is as usual."""
+        self.uses_work = True
+        self.work.speed.tell(slowness, self.clock.seconds())
+
     def expected_wait(self, rank: int, tenant: bytes | None = None) -> float:
         """Returns the seconds that a request is expected to wait.
 
@@ -151,36 +203,66 @@
             tenant: Its tenant, or None.
         """
         turn = self.turns.next_turn(tenant)
-        queued_ahead = sum(
-            1
+        ahead = [
+            e[-1]
             for e in self.heap
             if e[-1].is_waiting
             and (e[0] < rank or (e[0] == rank and e[2] <= turn))
-        )
-        rate_wait_s = self.rate.wait_s(self.clock.seconds(), queued_ahead)
-        return max(rate_wait_s, self._slot_wait(queued_ahead))
-
-    def _slot_wait(self, queued_ahead: int) -> float:
-        excess = max(0, self.taken + queued_ahead + 1 - self.capacity)
+        ]
+        rate_wait_s = self.rate.wait_s(self.clock.seconds(), len(ahead))
+        return max(rate_wait_s, self._slot_wait(ahead))
+
+    def _slot_wait(self, ahead: list["_Waiter"]) -> float:
+        if self.uses_work:
+            classes = [waiter.request.cost_class for waiter in ahead]
+            now = self.clock.seconds()
+            return self.work.wait_s(now, self.capacity, classes)
+        excess = max(0, self.taken + len(ahead) + 1 - self.capacity)
         return excess * self.service_time_s / max(1, self.capacity)
 
-    def service_time(self, route: str) -> float:
-        """Returns the average service time of a route, in seconds."""
+    def service_time(self, route: str, body_bytes: int = 0) -> float:
+        """Returns the expected service time of a request, in seconds.
+
+        Args:
+            route: Its route.
+            body_bytes: Size of its body; 0 when it is unknown.
+        """
+        if self.uses_work:
+            return self.work.service_s(
+                class_of(route, body_bytes), self.clock.seconds()
+            )
         return self.service_time_by_route.get(route, self.service_time_s)
 
-    def refuse_waiting(self, detail: str) -> None:
-        """Refuses all requests that wait for a slot."""
-        waiters = [entry[-1] for entry in self.heap if entry[-1].is_waiting]
-        self.heap.clear()
-        for waiter in waiters:
-            self._dequeue(waiter)
-        for waiter in waiters:
-            waiter.granted.errback(SlotError(detail))
+    @property
+    def average_service_time_s(self) -> float:
+        """Expected service time over all routes, in seconds."""
+        if self.uses_work and self.work.costs.overall.mean_s:
+            slowness = self.work.speed.now(self.clock.seconds())
+            return self.work.costs.overall.mean_s * slowness
+        return self.service_time_s
+
+    def work_left_s(self) -> float:
+        """Returns the seconds of work of all requests that run or wait."""
+        waiting = [
+            e[-1].request.cost_class for e in self.heap if e[-1].is_waiting
+        ]
+        return self.work.total_s(self.clock.seconds(), waiting)
+
+    def retry_after(self, latest: float = math.inf) -> float:
+        """Returns the seconds after which a refused caller is to return.
 
-    def retry_after(self) -> float:
-        """Returns the seconds after which a slot is expected to be free."""
-        rate_wait_s = self.rate.wait_s(self.clock.seconds(), self.queued)
-        return max(MIN_RETRY_AFTER_S, rate_wait_s, self._slot_wait(self.queued))
+        Args:
+            latest: Clock seconds after which it has too little time left.
+        """
+        now = self.clock.seconds()
+        rate_wait_s = self.rate.wait_s(now, self.queued)
+        waiting = [e[-1] for e in self.heap if e[-1].is_waiting]
+        wait_s = max(MIN_RETRY_AFTER_S, rate_wait_s, self._slot_wait(waiting))
+        if not self.uses_work:
+            return wait_s
+        pace_s = self.average_service_time_s / max(1, self.capacity)
+        after_s = self.returns.next_s(now, wait_s, pace_s, latest)
+        return max(MIN_RETRY_AFTER_S, after_s)
 
     def acquire(
         self, deadline: float, request: SlotRequest | None = None
@@ -192,8 +274,8 @@
             request: The request for it, or None for one with defaults.
 
         Returns:
-            Deferred that fires when the slot is acquired; fails with
-            `SlotError` when the request would not finish in time.
+            Deferred that fires with the run when the slot is acquired; fails
+            with `SlotError` when the request would not finish in time.
         """
         if request is None:
             request = SlotRequest(deadline=deadline)
@@ -201,28 +283,44 @@
             if self._lacks_time(request):
                 return fail(SlotError("too little time is left"))
             if self.rate.take(self.clock.seconds()):
-                self.taken += 1
-                return succeed(None)
+                return succeed(self._take(request))
         refusal = self._rejection_detail(request)
         if refusal:
             return fail(SlotError(refusal))
+        if self.queued >= self.capacity * MAX_QUEUE_PER_SLOT:
+            giving_way = self._less_urgent_than(request)
+            self._refuse(giving_way, "a more urgent request came")
         return self._queue(request)
 
+    def _take(self, request: SlotRequest) -> Run:
+        self.taken += 1
+        now = self.clock.seconds()
+        if self.taken >= self.capacity:
+            self.full_at = now
+        return self.work.start(request.cost_class, now)
+
     def _lacks_time(self, request: SlotRequest) -> bool:
         service_time_s = self.service_time_by_route.get(request.route, 0.0)
+        if self.uses_work and service_time_s:
+            service_time_s = self._service_time_of(request)
         left_s = request.deadline - self.clock.seconds()
         return left_s < MIN_TIME_FACTOR * service_time_s
 
+    def _service_time_of(self, request: SlotRequest) -> float:
+        return self.service_time(request.route, request.body_bytes)
+
     def _rejection_detail(self, request: SlotRequest) -> str:
         now = self.clock.seconds()
         if request.deadline <= now:
             return "no time left"
-        if self.queued >= self.capacity * MAX_QUEUE_PER_SLOT:
+        is_full = self.queued >= self.capacity * MAX_QUEUE_PER_SLOT
+        if is_full and self._less_urgent_than(request) is None:
             if not self._make_room(request):
                 return "queue is full"
-        wait_s = self.expected_wait(request.rank, request.tenant)
-        service_time_s = self.service_time(request.route)
-        is_long = wait_s > MAX_SPILL_WAIT_FACTOR * self.service_time_s
+        wait_s = self._expected_wait_of(request)
+        service_time_s = self._service_time_of(request)
+        average_s = self.average_service_time_s
+        is_long = wait_s > MAX_SPILL_WAIT_FACTOR * average_s
         if (
             request.spill_deadline
             and is_long
@@ -233,10 +331,10 @@
             return "queue is too long for the time left"
         if (
             not request.soft_deadline
-            or service_time_s < SHORT_REQUEST_FACTOR * self.service_time_s
+            or service_time_s < SHORT_REQUEST_FACTOR * average_s
         ):
             return ""
-        if likely_late(now, wait_s, service_time_s, request.soft_deadline):
+        if self._is_likely_late(request, wait_s):
             return "queue is too long to be prompt"
         return ""
 
@@ -254,13 +352,88 @@
         )
         if later is None or later[2] <= turn + 1:
             return False
-        waiter = later[-1]
-        self._abandon(waiter)
-        waiter.granted.errback(SlotError("its tenant has more requests here"))
+        self._refuse(later[-1], "its tenant has more requests here")
         return True
 
+    def _expected_wait_of(self, request: SlotRequest) -> float:
+        """Returns the seconds that a request is expected to wait."""
+        if not self.uses_work:
+            return self.expected_wait(request.rank, request.tenant)
+        turn = self.turns.next_turn(request.tenant)
+        place = _place_of(request, turn, late=False)
+        ahead = [
+            e[-1] for e in self.heap if e[-1].is_waiting and e[:4] <= place
+        ]
+        rate_wait_s = self.rate.wait_s(self.clock.seconds(), len(ahead))
+        return max(rate_wait_s, self._slot_wait(ahead))
+
+    def _is_likely_late(self, request: SlotRequest, wait_s: float) -> bool:
+        now = self.clock.seconds()
+        service_time_s = self._service_time_of(request)
+        if not self.uses_work:
+            return likely_late(
+                now, wait_s, service_time_s, request.soft_deadline
+            )
+        if wait_s <= MAX_LATE_WAIT_FACTOR * service_time_s:
+            return False
+        judged_s = self.work.service_s(
+            request.cost_class, now, fraction=JUDGED_FRACTION
+        )
+        done_at = now + COMPLETION_MARGIN * wait_s + judged_s
+        return done_at > request.soft_deadline
+
+    def _less_urgent_than(self, request: SlotRequest) -> "_Waiter | None":
+        """Returns the queued request that gives way in a full queue, or None.
+
+        It is one of the least urgent rank; of these, one that will be late, and
+        then the one that costs most.
+        """
+        if not self.uses_work:
+            return None
+        cost_s = self._service_time_of(request)
+        latest, latest_key = None, (request.rank, False, cost_s)
+        for rank, late, *_, waiter in self.heap:
+            if not waiter.is_waiting:
+                continue
+            waiter_cost_s = self._service_time_of(waiter.request)
+            if rank == request.rank and not late:
+                waiter_cost_s /= COSTLIER_FACTOR
+            key = (rank, late, waiter_cost_s)
+            if key > latest_key:
+                latest, latest_key = waiter, key
+        return latest
+
+    def _refuse_hopeless(self) -> None:
+        """Refuses queued requests for which no slot is expected in time."""
+        now = self.clock.seconds()
+        first_s = self.work.wait_s(now, self.capacity, ())
+        ahead_s = 0.0
+        for entry in sorted(e for e in self.heap if e[-1].is_waiting):
+            waiter = entry[-1]
+            if not waiter.is_waiting:
+                continue
+            left_s = waiter.timer.getTime() - now
+            if first_s + ahead_s > HOPELESS_FACTOR * left_s:
+                self._refuse(waiter, "no slot is expected in time")
+                continue
+            service_time_s = self._service_time_of(waiter.request)
+            ahead_s += service_time_s / max(1, self.capacity)
+
+    def refuse_waiting(self, detail: str) -> None:
+        """Refuses all requests that wait for a slot."""
+        waiters = [entry[-1] for entry in self.heap if entry[-1].is_waiting]
+        self.heap.clear()
+        for waiter in waiters:
+            self._abandon(waiter)
+        for waiter in waiters:
+            waiter.granted.errback(SlotError(detail))
+
+    def _refuse(self, waiter: "_Waiter", detail: str) -> None:
+        self._abandon(waiter)
+        waiter.granted.errback(SlotError(detail))
+
     def _queue(self, request: SlotRequest) -> Deferred:
-        service_time_s = self.service_time(request.route)
+        service_time_s = self._service_time_of(request)
         max_wait_s = (
             request.deadline
             - MIN_TIME_FACTOR * service_time_s
@@ -268,30 +441,28 @@
         )
         left_s = max(0.0, min(MAX_QUEUE_WAIT_S, max_wait_s))
         waiter = _Waiter(
-            Deferred(lambda _: self._abandon(waiter)),
-            request,
-            self.turns.take(request.tenant),
+            granted=Deferred(lambda _: self._abandon(waiter)),
+            request=request,
+            turn=self.turns.take(request.tenant),
         )
         waiter.timer = self.clock.callLater(left_s, self._expire, waiter)
         self._push(waiter, late=False)
         self.queued += 1
+        if self.uses_work:
+            self.full_at = self.clock.seconds()
+            self._refuse_hopeless()
         self._await_token()
         return waiter.granted
 
     def _push(self, waiter: _Waiter, *, late: bool) -> None:
-        request = waiter.request
-        entry = (
-            request.rank,
-            late,
-            waiter.turn,
-            request.soft_deadline,
-            next(self.sequence),
-            waiter,
-        )
-        heapq.heappush(self.heap, entry)
+        place = _place_of(waiter.request, waiter.turn, late=late)
+        heapq.heappush(self.heap, (*place, next(self.sequence), waiter))
 
     def release(
-        self, service_time_s: float | None = None, route: str = ""
+        self,
+        service_time_s: float | None = None,
+        route: str = "",
+        run: Run | None = None,
     ) -> None:
         """Releases a slot.
 
@@ -299,7 +470,10 @@
             service_time_s: Seconds for which it was held, to be averaged;
                 None when the request did not complete.
             route: Name of the request's route.
+            run: What `acquire` fired with.
         """
+        if run is not None:
+            self.work.end(run, self.clock.seconds(), service_time_s)
         if service_time_s is not None:
             self.service_time_s += SERVICE_TIME_WEIGHT * (
                 service_time_s - self.service_time_s
@@ -310,6 +484,8 @@
             )
         self.taken -= 1
         self._grant()
+        if self.taken < self.capacity and not self.queued:
+            self.on_vacancy()
 
     def _grant(self) -> None:
         # A request that is refused after its wait releases its slot before
@@ -335,8 +511,7 @@
                 break
             self.turns.serve(waiter.turn)
             self._dequeue(waiter)
-            self.taken += 1
-            waiter.granted.callback(None)
+            waiter.granted.callback(self._take(waiter.request))
 
         self._await_token()
 
@@ -356,8 +531,8 @@
     def _will_be_late(self, request: SlotRequest) -> bool:
         if not request.soft_deadline:
             return False
-        service_time_s = self.service_time(request.route)
-        if service_time_s < SHORT_REQUEST_FACTOR * self.service_time_s:
+        service_time_s = self._service_time_of(request)
+        if service_time_s < SHORT_REQUEST_FACTOR * self.average_service_time_s:
             return False
         return self.clock.seconds() + service_time_s > request.soft_deadline
 
@@ -365,8 +540,7 @@
         # Ordered only by soft deadline, requests that will miss theirs would
         # delay those behind them until these miss theirs as well.
         if self.queued > MAX_LATE_QUEUE_PER_SLOT * self.capacity:
-            self._abandon(waiter)
-            waiter.granted.errback(SlotError("too late to be prompt"))
+            self._refuse(waiter, "too late to be prompt")
             return
         self._push(waiter, late=True)
 
@@ -384,5 +558,4 @@
             self._dequeue(waiter)
 
     def _expire(self, waiter: _Waiter) -> None:
-        self._abandon(waiter)
-        waiter.granted.errback(SlotError("no slot in time"))
+        self._refuse(waiter, "no slot in time")
--- a/src/fulmarrudder/distribution/codec.py
+++ b/src/fulmarrudder/distribution/codec.py
@@ -20,6 +20,7 @@
     Snapshot,
     SourceUpdate,
     UpToDate,
+    Vacancy,
 )
 from fulmarrudder.model import (
     Brake,
@@ -49,6 +50,7 @@
     source=SourceUpdate,
     counted=QuotaReport,
     used=QuotaUse,
+    vacancy=Vacancy,
 )
 FACT_KINDS = Kinds(
     presence=Presence,
--- a/src/fulmarrudder/distribution/message.py
+++ b/src/fulmarrudder/distribution/message.py
@@ -9,9 +9,10 @@
 from fulmarrudder.state_machine import State
 
 # Nodes of protocol 1 take `SourceUpdate` and `ConfigChange`, those of protocol 2
-# `QuotaReport`, `QuotaUse` and the facts `Evacuation` and `SourceEra` as well. A node
-# closes a link on which a message or a fact of an unknown kind arrives.
+# `Vacancy`, `QuotaReport`, `QuotaUse` and the facts `Evacuation` and `SourceEra` as
+# well. A node closes a link on which a message or a fact of an unknown kind arrives.
 PROTOCOL = 2
+VACANCY_PROTOCOL = 2
 
 
 class Role(enum.Enum):
@@ -221,6 +222,19 @@
     records: tuple[SourceRecord, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Vacancy:
+    """Tells that the target beside the sender has a slot free.
+
+    Attributes:
+        slots: Free slots.
+        slowness: How long work takes there, in percent of the average.
+    """
+
+    slots: int
+    slowness: int
+
+
 Message = (
     Hello
     | PathUpdate
@@ -237,4 +251,5 @@
     | SourceUpdate
     | QuotaReport
     | QuotaUse
+    | Vacancy
 )
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -24,10 +24,15 @@
     RouteChange,
     RouteTable,
 )
+from fulmarrudder.call.load_balancer import VACANCIES_METRIC
 from fulmarrudder.call.start import START_S
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.distribution import Dialer, Document, Gossip
-from fulmarrudder.distribution.message import ConfigChange, SourceUpdate
+from fulmarrudder.distribution.message import (
+    ConfigChange,
+    SourceUpdate,
+    Vacancy,
+)
 from fulmarrudder.membership import (
     Announcement,
     DepartedTarget,
@@ -279,6 +284,7 @@
             active_version=lambda: self.version,
             on_source_update=on_source_update,
             on_change=on_change,
+            on_vacancy=self._vacancy_told,
             link_bytes_per_s=settings.link_bytes_per_s,
             quotas=self.quotas,
         )
@@ -303,6 +309,7 @@
             broadcast=self.gossip.broadcast,
             on_told=on_evacuation,
         )
+        self.host.vacancies.tell = self._tell_vacancy
         self.entry = EntryPipeline(
             clock=reactor,
             pool=self.pool,
@@ -449,6 +456,8 @@
             table=table,
         )
         self.identifier.keys = keys
+        if arrangement.tenants is not None:
+            self.host.slots.uses_work = True
         self.calls.limits = arrangement.limits
         self.host.cold.set_services(arrangement.services)
         now = self.clock.seconds()
@@ -733,6 +742,19 @@
         )
         self.on_version_told(version)
 
+    def _tell_vacancy(self, node: str, slots: int, slowness: float) -> bool:
+        """Tells a node of this data centre of free slots of the target."""
+        vacancy = Vacancy(slots=slots, slowness=round(slowness * 100))
+        is_told = self.gossip.tell_vacancy(node, vacancy)
+        if is_told:
+            self.metrics.count(VACANCIES_METRIC, ("event", "told"))
+        return is_told
+
+    def _vacancy_told(self, node: str, vacancy: Vacancy) -> None:
+        self.metrics.count(VACANCIES_METRIC, ("event", "heard"))
+        now = self.clock.seconds()
+        self.balancer.vacancies.told(node, vacancy.slowness / 100, now)
+
     def _on_new_fact(self, fact: Fact) -> None:
         if isinstance(fact, Evidence):
             self.monitor.add_evidence(fact)
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -16,6 +16,7 @@
     SourceRecord,
     SourceUpdate,
     UpToDate,
+    Vacancy,
 )
 from fulmarrudder.log import RawRecord
 from fulmarrudder.model import (
@@ -307,6 +308,7 @@
         included=(("n1", 7),),
         pressing=True,
     ),
+    Vacancy(slots=2, slowness=140),
 )
 ANSWERS = (
     Status(
