A head of many lines costs its bytes; one budget for all connections

Cause: a parsed line is a tuple and two bytes objects, so that a head of 16 KB of short lines takes 0.4 to 0.5 MB, and the error that refused it (over 100 fields, 431) held the decoded fields in the frames of its traceback. Answers that a client doesn't read, chunks of a few bytes and pipelined requests behind one in progress had no bound by bytes.

Change: lines beyond the 64th stay one block of bytes (call/lines.py), which the sanitizer, tenants, the hop and the encoder pass on; 431 only by size. Parts of a body that are read together are one event. Bytes are decoded in slices, as far as requests may start; 16 requests of a connection start in a turn. A connection with 64 KB unsent starts none. call/budget.py charges connections; over a quarter of limits.memoryMb the largest is closed, over 0.4 of the sockets of limits.maxFds the one that is unused for longest. Without limits nothing is.

--- a/src/fulmarrudder/call/body.py
+++ b/src/fulmarrudder/call/body.py
@@ -13,6 +13,8 @@
 from zope.interface import implementer
 
 MAX_REPLAY_BYTES = 65_536
+# Parts up to this size are joined in the replay buffer.
+SMALL_PART_BYTES = 1_024
 
 
 class BodySink(Protocol):
@@ -81,7 +83,7 @@
         """Receives a part from the connection."""
         self.received_bytes += len(data)
         if self.replayable:
-            self.replay_buffer.append(data)
+            self._keep_for_replay(data)
         if self.sink is not None:
             self._trim_replay_buffer()
             self.sink.write_part(data)
@@ -89,6 +91,13 @@
             self.pauseProducing()
         self._resolve_prefix()
 
+    def _keep_for_replay(self, data: bytes) -> None:
+        parts = self.replay_buffer
+        if parts and len(parts[-1]) + len(data) <= SMALL_PART_BYTES:
+            parts[-1] += data
+            return
+        parts.append(data)
+
     def receive_end(self) -> None:
         """Receives the end from the connection."""
         if self.ended:
--- a/src/fulmarrudder/call/codec.py
+++ b/src/fulmarrudder/call/codec.py
@@ -11,7 +11,9 @@
 import httptools
 
 from fulmarrudder.call.errors import ProtocolError
+from fulmarrudder.call.lines import encode_line
 from fulmarrudder.call.message import (
+    PEER_HEADER,
     RAN_HEADER,
     REACHED_TARGET_HEADER,
     REASON_HEADER,
@@ -30,7 +32,10 @@
 )
 
 HEADER_BYTES_LIMIT = 16_384
-HEADER_COUNT_LIMIT = 100
+# What the fields between nodes may add to a caller's head.
+HOP_BYTES_LIMIT = 2_048
+# Fields of a head that are parsed; those after them are kept as one block.
+MAX_PARSED_FIELDS = 64
 # Retry-After of a 503 refusal that sets none.
 DEFAULT_RETRY_AFTER_S = 1
 CRLF = b"\r\n"
@@ -56,15 +61,23 @@
     Attributes:
         events: Decoded events that `feed` has not returned yet.
         fields: Header fields of the current head.
+        block: The lines after these, see `fulmarrudder.call.lines`.
+        parts: Parts of a body that are not an event yet. They become one, so
+            that chunks of a few bytes cost no more than others.
         pending_bytes: Bytes received since the last complete head or the last
             part of a body. They are a head, or lines that frame a body.
         trailer_bytes: Size of the trailer fields, in bytes.
         in_head: Whether the next bytes belong to a head.
     """
 
+    # Most bytes of a head that is not complete.
+    pending_limit = HEADER_BYTES_LIMIT
+
     __slots__ = (
         "events",
         "fields",
+        "block",
+        "parts",
         "pending_bytes",
         "trailer_bytes",
         "in_head",
@@ -73,18 +86,26 @@
     def __init__(self):
         self.events: list[Event] = []
         self.fields: list[tuple[bytes, bytes]] = []
+        self.block = bytearray()
+        self.parts: list[bytes] = []
         self.pending_bytes = 0
         self.trailer_bytes = 0
         self.in_head = True
 
     def on_message_begin(self) -> None:
         self.fields = []
+        self.block = bytearray()
+        # A head that comes behind the end of a message has begun as well.
+        self.pending_bytes = self.pending_bytes or 1
         self.trailer_bytes = 0
         self.in_head = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_head:
-            self.fields.append((name.lower(), value))
+            if len(self.fields) < MAX_PARSED_FIELDS:
+                self.fields.append((name.lower(), value))
+            else:
+                self.block += encode_line(name.lower(), value)
             return
         # Trailer fields are dropped, but their size is limited as well.
         self.trailer_bytes += len(name) + len(value) + 4
@@ -97,33 +118,52 @@
         Raises:
             ProtocolError: The fields exceed a limit.
         """
-        fields, pending_bytes = tuple(self.fields), self.pending_bytes
+        headers = Headers(tuple(self.fields), bytes(self.block))
+        pending_bytes = self.pending_bytes
+        self.fields = []
+        self.block = bytearray()
         self.in_head = False
         self.pending_bytes = 0
-        if len(fields) > HEADER_COUNT_LIMIT:
-            raise ProtocolError("too many header fields", status=431)
         if pending_bytes > HEADER_BYTES_LIMIT:
-            # `pending_bytes` may include bytes after the head, so the fields
-            # are measured.
-            size = sum(len(name) + len(value) + 4 for name, value in fields)
-            if size > HEADER_BYTES_LIMIT:
-                raise ProtocolError("header fields too large", status=431)
-        return Headers(fields)
+            self._check_size(headers)
+        return headers
+
+    def _check_size(self, headers: Headers) -> None:
+        # The bytes received may include some after the head, so the fields are
+        # measured.
+        size = len(headers.block)
+        size += sum(
+            len(name) + len(value) + 4 for name, value in headers.fields
+        )
+        limit = HEADER_BYTES_LIMIT
+        if headers.get(PEER_HEADER) is not None:
+            limit += HOP_BYTES_LIMIT
+        if size > limit:
+            raise ProtocolError("header fields too large", status=431)
 
     def check_pending_size(self) -> None:
         """Raises ProtocolError if an incomplete head or line is too large."""
         if self.pending_bytes <= HEADER_BYTES_LIMIT:
             return
         if self.in_head:
+            if self.pending_bytes <= self.pending_limit:
+                return
             raise ProtocolError("head too large", status=431)
         raise ProtocolError("framing of the body too large")
 
     def on_body(self, data: bytes) -> None:
         self.pending_bytes = 0
-        self.events.append(BodyPart(data))
+        self.parts.append(data)
+
+    def end_part(self) -> None:
+        """Appends the event of the parts of a body received so far."""
+        if self.parts:
+            self.events.append(BodyPart(b"".join(self.parts)))
+            self.parts = []
 
     def take_events(self) -> list[Event]:
         """Returns the events that were not returned yet, and clears them."""
+        self.end_part()
         events, self.events = self.events, []
         return events
 
@@ -131,6 +171,9 @@
 class RequestDecoder(_Decoder):
     """Decodes requests from a caller's bytes."""
 
+    # Which field shows that a node has sent the head is not known yet.
+    pending_limit = HEADER_BYTES_LIMIT + HOP_BYTES_LIMIT
+
     __slots__ = ("parser", "url")
 
     def __init__(self):
@@ -162,6 +205,7 @@
         return self.take_events()
 
     def _drop_last_request(self) -> None:
+        self.parts = []
         while self.events:
             if isinstance(self.events.pop(), RequestHead):
                 return
@@ -189,6 +233,7 @@
 
     def on_message_complete(self) -> None:
         """Appends the event of a complete message."""
+        self.end_part()
         self.events.append(BodyEnd())
         self.in_head = True
         self.pending_bytes = 0
@@ -302,6 +347,7 @@
             return
         self.pending_bytes = 0
         self.completed += 1
+        self.end_part()
         self.events.append(BodyEnd())
 
 
@@ -355,6 +401,7 @@
     lines = [b"%b %b HTTP/1.1\r\n" % (head.method, head.target)]
     lines += [b"%b: %b\r\n" % field for field in head.headers.fields]
     lines += [b"%b: %b\r\n" % field for field in fields]
+    lines.append(head.headers.block)
     lines.append(_framing_line(head.framing, head.length))
     if head.framing is Framing.NONE and head.method in (b"POST", b"PUT"):
         lines.append(b"content-length: 0\r\n")
@@ -386,6 +433,7 @@
     lines = [b"HTTP/1.1 %d %b\r\n" % (head.status, reason)]
     lines += [b"%b: %b\r\n" % field for field in head.headers.fields]
     lines += [b"%b: %b\r\n" % field for field in fields]
+    lines.append(head.headers.block)
     lines.append(_framing_line(framing, head.length))
     if framing is Framing.NONE and head.status not in BODILESS_STATUS:
         content_length = head.length if bodiless else 0
--- a/src/fulmarrudder/call/header_names.py
+++ b/src/fulmarrudder/call/header_names.py
@@ -10,7 +10,6 @@
 from fulmarrudder.call.message import (
     TIMEOUT_HEADER,
     Field,
-    Headers,
     RequestHead,
     ResponseHead,
 )
@@ -145,10 +144,10 @@
         header_names.time_remaining,
         header_names.expected_target,
     )
-    kept = tuple(f for f in head.headers.fields if f[0] not in set_by_nodes)
+    added: tuple[Field, ...] = ()
     if header_names.calling_service:
-        kept = (*kept, (header_names.calling_service, service.encode()))
-    return head.with_headers(Headers(kept))
+        added = ((header_names.calling_service, service.encode()),)
+    return head.with_headers(head.headers.replace(set_by_nodes, *added))
 
 
 def request_id_fields(
--- a/src/fulmarrudder/call/hop.py
+++ b/src/fulmarrudder/call/hop.py
@@ -18,7 +18,6 @@
     REASON_HEADER,
     RETRY_AFTER_HEADER,
     Field,
-    Headers,
     Ran,
     Refusal,
     RefusalReason,
@@ -96,8 +95,9 @@
     """Returns a head with a W3C `traceparent` field."""
     if traceparent is None:
         return head
-    fields = tuple(f for f in head.headers.fields if f[0] != b"traceparent")
-    headers = Headers((*fields, (b"traceparent", traceparent)))
+    headers = head.headers.replace(
+        (b"traceparent",), (b"traceparent", traceparent)
+    )
     return head.with_headers(headers)
 
 
--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 import enum
+from collections.abc import Collection
+
+from fulmarrudder.call.lines import count_lines, drop_lines, first_value
 
 PEER_HEADER = b"fulmarrudder-peer"
 TIMEOUT_HEADER = b"fulmarrudder-timeout-ms"
@@ -23,20 +26,35 @@
 
     Attributes:
         fields: Pairs of name and value.
+        block: The lines after these of a head with very many, see
+            `fulmarrudder.call.lines`.
     """
 
     fields: tuple[Field, ...] = ()
+    block: bytes = b""
 
     def get(self, name: bytes) -> bytes | None:
         """Returns the first value of a field, or None."""
         for found, value in self.fields:
             if found == name:
                 return value
-        return None
+        return first_value(self.block, name) if self.block else None
 
     def count(self, name: bytes) -> int:
         """Counts the fields with a name."""
-        return sum(1 for found, _ in self.fields if found == name)
+        count = sum(1 for found, _ in self.fields if found == name)
+        return count + count_lines(self.block, name) if self.block else count
+
+    def replace(self, names: Collection[bytes], *added: Field) -> "Headers":
+        """Returns the fields without some names, and with others added.
+
+        Args:
+            names: Names of the fields to remove.
+            added: Fields to add.
+        """
+        kept = tuple(field for field in self.fields if field[0] not in names)
+        block = drop_lines(self.block, names) if self.block else b""
+        return Headers((*kept, *added), block)
 
 
 class Framing(enum.Enum):
--- a/src/fulmarrudder/call/sanitizer.py
+++ b/src/fulmarrudder/call/sanitizer.py
@@ -3,6 +3,7 @@
 import dataclasses
 import re
 
+from fulmarrudder.call.lines import all_values, drop_lines
 from fulmarrudder.call.message import (
     INTERNAL_PREFIX,
     Headers,
@@ -103,16 +104,27 @@
                 kept.append(field)
             continue
         if name == b"connection":
-            connection_options |= {
-                part.strip().lower() for part in value.split(b",")
-            }
+            connection_options |= _options(value)
         elif name == b"expect" and expect is None:
             expect = value
+    block = headers.block
+    if block:
+        host_count = headers.count(b"host")
+        expect = headers.get(b"expect")
+        values = all_values(block, b"connection")
+        if values:
+            connection_options |= _options(b",".join(values))
+        dropped = HOP_BY_HOP | connection_options
+        block = drop_lines(block, dropped, INTERNAL_PREFIX)
     if connection_options:
         kept = [field for field in kept if field[0] not in connection_options]
     return _SanitizedHeaders(
-        kept=Headers(tuple(kept)),
+        kept=Headers(tuple(kept), block),
         host_count=host_count,
         expect=expect,
         connection_options=connection_options,
     )
+
+
+def _options(value: bytes) -> frozenset[bytes]:
+    return frozenset(part.strip().lower() for part in value.split(b","))
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -5,9 +5,18 @@
 from functools import singledispatch
 
 from twisted.internet.defer import Deferred
+from twisted.internet.interfaces import IPullProducer
 from twisted.internet.protocol import Factory, Protocol
+from zope.interface import implementer
 
 from fulmarrudder.call.answer import refusal_answer
+from fulmarrudder.call.budget import (
+    CALL_BYTES,
+    CONNECTION_BYTES,
+    FIELD_BYTES,
+    WAITING_ANSWER_BYTES,
+    Budget,
+)
 from fulmarrudder.call.codec import (
     RequestDecoder,
     encode_response,
@@ -31,7 +40,17 @@
 from fulmarrudder.model import Limits
 from fulmarrudder.observe import Metrics, Spans
 
-MAX_QUEUED_EVENTS = 64
+# Bytes that are decoded at a time. What a queued request takes is a multiple of
+# its bytes, and a part of a body is not.
+HEAD_SLICE_BYTES = 4_096
+BODY_SLICE_BYTES = 16_384
+# Received bytes that wait behind a request before reading pauses. A connection
+# that is not read does not show that its caller has left.
+MAX_UNREAD_BYTES = 4_096
+# Unsent bytes of earlier answers from which on no further request is served.
+MAX_UNSENT_BYTES = 65_536
+# Requests of one connection that are started in a turn of the loop.
+MAX_STARTS = 16
 # Idle timeout of connections from other nodes. Longer than these reuse them, so
 # that the node that sends the requests is the one that closes: a request cannot
 # cross its own close.
@@ -53,6 +72,7 @@
         leaving: Whether the node drains: connections close once idle.
         active: Number of calls in progress.
         drain_waiters: Deferreds that fire when every connection is closed.
+        budget: What the connections may hold.
     """
 
     noisy = False
@@ -78,6 +98,7 @@
         self.limits = Limits()
         self.active = 0
         self.drain_waiters: list[Deferred] = []
+        self.budget = Budget()
         self.events = entry.report.events
 
     def buildProtocol(self, addr):  # noqa: N802
@@ -113,13 +134,49 @@
         for waiter in waiters:
             waiter.callback(None)
 
+    def enforce_budget(self) -> None:
+        """Closes the connections that hold most while all hold too much."""
+        while (connection := self.budget.largest()) is not None:
+            self._close_for_budget(connection, "memory")
+
+    def make_room(self, newcomer: "CallConnection") -> None:
+        """Closes a connection if there are too many.
+
+        The one goes that is unused for longest, or else the newcomer.
+
+        Args:
+            newcomer: The connection that was opened last.
+        """
+        if not self.budget.is_full(len(self.connections)):
+            return
+        unused = (c for c in self.connections if not c.calls and not c.closing)
+        oldest = min(unused, key=lambda c: c.idle_until, default=newcomer)
+        self._close_for_budget(oldest, "descriptors")
+
+    def _close_for_budget(self, connection: "CallConnection", why: str) -> None:
+        self.budget.release(connection)
+        self.metrics.count("fulmarrudder_budget_closes_total", ("short", why))
+        self.events.info(
+            self.clock.seconds(),
+            "connection-over-budget",
+            why,
+            short=why,
+            peer_address=connection.transport.getPeer(),
+            held_bytes=self.budget.total,
+            connections=len(self.connections),
+        )
+        connection.abort()
+
     def sweep(self) -> None:
         """Closes connections that are past their idle or head timeout."""
         now = self.clock.seconds()
         for connection in tuple(self.connections):
+            connection.charge()
             if connection.calls:
                 continue
-            if connection.decoder.pending_bytes:
+            if connection.closing:
+                connection.check_close_timeout(now)
+            elif connection.decoder.pending_bytes:
                 connection.check_head_timeout(now)
             elif connection.idle_until < now:
                 connection.close_if_idle()
@@ -145,7 +202,9 @@
         idle_until: Clock seconds after which it is closed when idle.
         head_deadline: Clock seconds by which a started head must be complete.
         is_from_node: Whether another node has opened it.
-        reading_paused: Whether reading is paused because of queued events.
+        reading_paused: Whether reading is paused because of unread bytes.
+        unread: Received bytes that are not decoded yet.
+        drain: Resumes the connection once its answers are sent.
     """
 
     def __init__(self, factory: CallFactory):
@@ -159,6 +218,8 @@
         self.write_buffer: WriteBuffer | None = None
         self.reading_paused = False
         self.closing = False
+        self.unread = b""
+        self.drain = _Drain(self)
 
     def connectionMade(self):  # noqa: N802
         """Registers the connection."""
@@ -166,10 +227,13 @@
         self.write_buffer = WriteBuffer(self.transport, self.factory.clock)
         self._restart_idle_timeout()
         self.factory.connections.add(self)
+        self.factory.budget.charge(self, CONNECTION_BYTES)
+        self.factory.make_room(self)
 
     def connectionLost(self, reason):  # noqa: N802
         """Aborts the calls in progress."""
         self.factory.connections.discard(self)
+        self.factory.budget.release(self)
         self.closing = True
         self._abort_calls()
         self.factory.notify_if_drained()
@@ -182,6 +246,36 @@
         """Decodes bytes and handles the events that are not blocked."""
         if self.closing:
             return
+        self.unread = self.unread + data if self.unread else data
+        self.pump()
+
+    def pump(self) -> None:
+        """Handles what was received up to the first event that is blocked."""
+        left = MAX_STARTS
+        while not self.closing and (self.events or self._decode()):
+            event = self.events[0]
+            if _is_blocked(event, self):
+                break
+            if isinstance(event, RequestHead):
+                if not left:
+                    self.factory.clock.callLater(0, self.pump)
+                    break
+                left -= 1
+            self.events.popleft()
+            _handle_event(event, self)
+        self._limit_unread()
+        self.charge()
+        self.factory.enforce_budget()
+
+    def _decode(self) -> bool:
+        """Decodes the next bytes; returns whether there are events."""
+        while self.unread and not self.events:
+            size = self._slice_bytes()
+            data, self.unread = self.unread[:size], self.unread[size:]
+            self._decode_slice(data)
+        return bool(self.events)
+
+    def _decode_slice(self, data: bytes) -> None:
         if not self.decoder.pending_bytes:
             limit_s = self.factory.limits.header_ms / 1000
             self.head_deadline = self.factory.clock.seconds() + limit_s
@@ -189,23 +283,53 @@
             self.events.extend(self.decoder.feed(data))
         except ProtocolError as error:
             self.events.extend(self.decoder.take_events())
-            self.events.append(error)
-        self.pump()
+            # The frames of its traceback hold what was decoded.
+            self.events.append(error.with_traceback(None))
+            self.unread = b""
+
+    def _slice_bytes(self) -> int:
+        if self.decoder.in_head:
+            return HEAD_SLICE_BYTES
+        if not self.calls:
+            return BODY_SLICE_BYTES
+        call = self.calls[-1]
+        left = call.head.length - call.body.received_bytes
+        return max(BODY_SLICE_BYTES, left)
+
+    def charge(self) -> None:
+        """Tells the budget what the connection holds."""
+        if self not in self.factory.connections:
+            return
+        size = CONNECTION_BYTES + len(self.unread) + self.decoder.pending_bytes
+        size += self.write_buffer.unsent_bytes
+        size += sum(map(_size_of, self.events))
+        for call in self.calls:
+            body = call.body
+            size += CALL_BYTES + _size_of(call.head)
+            size += body.received_bytes if body.replayable else 0
+        size += WAITING_ANSWER_BYTES * max(0, len(self.calls) - 1)
+        self.factory.budget.charge(self, size)
+
+    def abort(self) -> None:
+        """Resets the connection and aborts its calls."""
+        self.closing = True
+        self._abort_calls()
+        self.write_buffer.abort()
 
-    def pump(self) -> None:
-        """Handles queued events up to the first that is blocked."""
-        while self.events and not self.closing:
-            event = self.events[0]
-            if self.calls and _is_blocked(event, self):
-                break
-            self.events.popleft()
-            _handle_event(event, self)
-        self._limit_queue()
+    def is_unsent(self) -> bool:
+        """Returns whether too much of earlier answers is not sent yet."""
+        if self.write_buffer.unsent_bytes <= MAX_UNSENT_BYTES:
+            return False
+        if not self.calls:
+            self.drain.wait()
+        return True
 
     def can_overlap(self, head: RequestHead) -> bool:
         """Returns whether a request may run concurrently with others."""
         if self.factory.leaving or len(self.calls) >= MAX_OVERLAPPING_REQUESTS:
             return False
+        if self.factory.budget.is_high:
+            return False
         heads = (head, *(call.head for call in self.calls))
         return all(_allows_overlap(head) for head in heads)
 
@@ -213,11 +337,12 @@
         """Returns whether no call has started after `call`."""
         return not self.calls or self.calls[-1] is call
 
-    def _limit_queue(self) -> None:
-        if len(self.events) > MAX_QUEUED_EVENTS and not self.reading_paused:
+    def _limit_unread(self) -> None:
+        is_long = len(self.unread) > MAX_UNREAD_BYTES
+        if is_long and not self.reading_paused:
             self.reading_paused = True
             self.transport.pauseProducing()
-        elif self.reading_paused and not self.events:
+        elif self.reading_paused and not is_long and not self.closing:
             self.reading_paused = False
             self.transport.resumeProducing()
 
@@ -239,6 +364,15 @@
                 ProtocolError("request head took too long", status=408)
             )
 
+    def check_close_timeout(self, now: float) -> None:
+        """Resets a closed connection whose peer does not read its answers.
+
+        Args:
+            now: Clock seconds.
+        """
+        if now > self.idle_until:
+            self.write_buffer.abort()
+
     def refuse_malformed(self, error: ProtocolError) -> None:
         """Refuses a request that violates HTTP/1.1, and closes."""
         if self.calls:
@@ -277,6 +411,7 @@
         encoded_head = encode_response(answer.head, keep_alive=False)
         self.write_buffer.write(encoded_head + answer.body)
         self.closing = True
+        self.drain.stop()
         self.write_buffer.close()
 
     def call_done(self, call: ServedCall, reusable: bool) -> None:
@@ -296,7 +431,7 @@
             self._abort_calls()
             self.write_buffer.close()
             return
-        if self.events or self.reading_paused:
+        if self.events or self.unread or self.reading_paused:
             self.factory.clock.callLater(0, self.pump)
         if self.calls:
             self.calls[0].start_sending()
@@ -310,7 +445,7 @@
     @property
     def is_idle(self) -> bool:
         """Whether no call is in progress, queued or being received."""
-        if self.calls or self.events:
+        if self.calls or self.events or self.unread:
             return False
         return not self.decoder.pending_bytes
 
@@ -318,9 +453,61 @@
         """Closes the connection if it is idle."""
         if self.is_idle and not self.closing:
             self.closing = True
+            self._restart_idle_timeout()
             self.write_buffer.close()
 
 
+@implementer(IPullProducer)
+class _Drain:
+    """Waits until the answers on a connection are sent.
+
+    Attributes:
+        waiting: Whether it is registered with the transport.
+    """
+
+    def __init__(self, connection: CallConnection):
+        self.connection = connection
+        self.waiting = False
+
+    def wait(self) -> None:
+        """Starts to wait; the connection has no call in progress."""
+        if not self.waiting:
+            self.connection.transport.registerProducer(self, False)
+            self.waiting = True
+
+    def stop(self) -> None:
+        """Waits no more."""
+        if self.waiting:
+            self.waiting = False
+            self.connection.transport.unregisterProducer()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Handles that the transport can take more."""
+        if self.waiting:
+            self.stop()
+            self.connection.factory.clock.callLater(0, self.connection.pump)
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Does nothing; the connection handles its own loss."""
+
+
+@singledispatch
+def _size_of(event) -> int:
+    return FIELD_BYTES
+
+
+@_size_of.register
+def _(event: RequestHead) -> int:
+    headers = event.headers
+    size = len(event.target) + len(headers.block)
+    return size + FIELD_BYTES * (len(headers.fields) + 2)
+
+
+@_size_of.register
+def _(event: BodyPart) -> int:
+    return FIELD_BYTES + len(event.data)
+
+
 def _allows_overlap(head: RequestHead) -> bool:
     if head.method not in OVERLAPPING_METHODS or not head.keep_alive:
         return False
@@ -329,19 +516,21 @@
 
 @singledispatch
 def _is_blocked(event, connection: CallConnection) -> bool:
-    """Returns whether an event must wait for the calls in progress."""
+    """Returns whether an event must wait for earlier calls or answers."""
     return False
 
 
 @_is_blocked.register
 def _(event: RequestHead, connection: CallConnection) -> bool:
-    return not connection.can_overlap(event)
+    if connection.is_unsent():
+        return True
+    return bool(connection.calls) and not connection.can_overlap(event)
 
 
 @_is_blocked.register
 def _(event: ProtocolError, connection: CallConnection) -> bool:
     # An error inside a body aborts the call of that body at once.
-    return connection.calls[-1].body.ended
+    return bool(connection.calls) and connection.calls[-1].body.ended
 
 
 @singledispatch
--- a/src/fulmarrudder/call/write_buffer.py
+++ b/src/fulmarrudder/call/write_buffer.py
@@ -96,6 +96,16 @@
         transport = self.transport
         return bool(transport.dataBuffer or transport._tempDataBuffer)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the peer's side has not taken yet."""
+        size = sum(map(len, self.pending))
+        if not self.can_write_directly:
+            return size
+        transport = self.transport
+        size += len(transport.dataBuffer) - transport.offset
+        return size + transport._tempDataLen
+
     def abort(self) -> None:
         """Discards the buffered data, and resets the connection."""
         self.pending = []
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -24,6 +24,7 @@
     RouteChange,
     RouteTable,
 )
+from fulmarrudder.call.budget import BudgetLimits
 from fulmarrudder.call.start import START_S
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.distribution import Dialer, Document, Gossip
@@ -90,6 +91,7 @@
         retry_ratio: Retries per request that the whole fleet may make.
         retry_slack: Retries that the fleet may make beyond that ratio.
         link_bytes_per_s: Speed of the instance's network link.
+        budget: What the connections of callers and nodes may hold.
         credentials: What is demanded of a node that may be behind.
     """
 
@@ -101,6 +103,7 @@
     retry_ratio: float
     retry_slack: float
     link_bytes_per_s: float = math.inf
+    budget: BudgetLimits = BudgetLimits()
     credentials: Credentials = Credentials()
 
 
@@ -293,6 +296,7 @@
             spans=self.spans,
             metrics=self.metrics,
         )
+        self.calls.budget.limits = settings.budget
         self.monitor = Monitor(reactor, self.facts, self.gossip.broadcast)
         self.move_executor = MoveExecutor(
             clock=reactor,
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -13,6 +13,7 @@
 from twisted.logger import globalLogBeginner
 
 from fulmarrudder import __version__
+from fulmarrudder.call.budget import limits_of_machine
 from fulmarrudder.clock import use_monotonic_time, wall_seconds
 from fulmarrudder.distribution import Peer
 from fulmarrudder.distribution.readers import ReaderDuty
@@ -302,6 +303,7 @@
         self.settings = settings
         self.node.settings = _node_settings_of(settings)
         self.node.identifier.credentials = self.node.settings.credentials
+        self.node.calls.budget.limits = self.node.settings.budget
         logs.setup(settings.log_level, node=settings.node)
         logs.info("reloaded", service=settings.service)
 
@@ -382,6 +384,7 @@
         retry_ratio=settings.retry_ratio,
         retry_slack=settings.retry_slack,
         link_bytes_per_s=settings.link_bytes_per_s,
+        budget=limits_of_machine(settings.memory_bytes, settings.descriptors),
         credentials=Credentials(
             fail_closed=settings.fail_closed, unconfirmed_s=settings.revoke_s
         ),
--- a/src/fulmarrudder/platform/settings.py
+++ b/src/fulmarrudder/platform/settings.py
@@ -21,6 +21,7 @@
 MESH_PORT_INDEX = 0
 METRICS_PORT_INDEX = 1
 BYTES_PER_MEGABIT = 125_000
+BYTES_PER_MEGABYTE = 1_000_000
 
 
 class _Listen(PlatformModel):
@@ -44,6 +45,8 @@
 
 class _Limits(PlatformModel):
     link_mbps: float = pydantic.Field(math.inf, alias="linkMbps", gt=0)
+    memory_mb: float = pydantic.Field(math.inf, alias="memoryMb", gt=0)
+    descriptors: float = pydantic.Field(math.inf, alias="maxFds", gt=0)
 
 
 class _StoreSettings(PlatformModel):
@@ -92,6 +95,8 @@
         retry_slack: Retries that they may make beyond the ratio.
         link_bytes_per_s: Speed of the instance's network link; infinite when
             it is not known.
+        memory_bytes: Memory of the process; infinite when it is not known.
+        descriptors: Descriptors of the process; the same.
         log_level: Lowest level of the lines that are logged.
         first_start: Whether the whole fleet may be starting for the first
             time.
@@ -117,6 +122,8 @@
     retry_ratio: float
     retry_slack: float
     link_bytes_per_s: float
+    memory_bytes: float
+    descriptors: float
     log_level: str
     first_start: bool = True
     fail_closed: bool = False
@@ -158,6 +165,8 @@
             retry_ratio=model.bounds.retry_ratio,
             retry_slack=model.bounds.retry_slack,
             link_bytes_per_s=model.limits.link_mbps * BYTES_PER_MEGABIT,
+            memory_bytes=model.limits.memory_mb * BYTES_PER_MEGABYTE,
+            descriptors=model.limits.descriptors,
             log_level=model.log_level,
             first_start=model.bootstrap,
             fail_closed=model.bounds.fail_closed,
--- a/src/fulmarrudder/tenants/identify.py
+++ b/src/fulmarrudder/tenants/identify.py
@@ -9,7 +9,7 @@
 
 from fulmarrudder.call.freshness import ConfigFreshness
 from fulmarrudder.call.header_names import HeaderNames
-from fulmarrudder.call.message import Headers, Refusal, RequestHead
+from fulmarrudder.call.message import Field, Refusal, RequestHead
 from fulmarrudder.call.refusals import UNCONFIRMED_KEYS, UNKNOWN_KEY
 from fulmarrudder.call.route import RoutedRequest
 from fulmarrudder.clock import Clock
@@ -93,11 +93,8 @@
         self, head: RequestHead, tenant: Tenant | None
     ) -> RequestHead:
         names = self.header_names
-        kept = tuple(
-            field
-            for field in head.headers.fields
-            if field[0] not in (names.api_key, names.tenant)
-        )
+        added: tuple[Field, ...] = ()
         if tenant is not None:
-            kept = (*kept, (names.tenant, tenant.name.encode()))
-        return head.with_headers(Headers(kept))
+            added = ((names.tenant, tenant.name.encode()),)
+        headers = head.headers.replace((names.api_key, names.tenant), *added)
+        return head.with_headers(headers)
