--- a/src/fulmarrudder/call/budget.py
+++ b/src/fulmarrudder/call/budget.py
@@ -24,7 +24,9 @@
 # A call in progress, without its head and its body.
 CALL_BYTES = 8_192
 # An answer that waits until those before it on its connection are sent.
-WAITING_ANSWER_BYTES = 81_920
+WAITING_ANSWER_BYTES = 131_072
+# What a connection may hold without being charged for it.
+LIGHT_BYTES = 2_048
 # A parsed field, beside its bytes.
 FIELD_BYTES = 136
 
--- a/src/fulmarrudder/call/codec.py
+++ b/src/fulmarrudder/call/codec.py
@@ -61,6 +61,7 @@
     Attributes:
         events: Decoded events that `feed` has not returned yet.
         fields: Header fields of the current head.
+        room: Number of fields that are still parsed.
         block: The lines after these, see `fulmarrudder.call.lines`.
         parts: Parts of a body that are not an event yet. They become one, so
             that chunks of a few bytes cost no more than others.
@@ -76,6 +77,7 @@
     __slots__ = (
         "events",
         "fields",
+        "room",
         "block",
         "parts",
         "pending_bytes",
@@ -86,7 +88,8 @@
     def __init__(self):
         self.events: list[Event] = []
         self.fields: list[tuple[bytes, bytes]] = []
-        self.block = bytearray()
+        self.room = MAX_PARSED_FIELDS
+        self.block: bytearray | None = None
         self.parts: list[bytes] = []
         self.pending_bytes = 0
         self.trailer_bytes = 0
@@ -94,7 +97,8 @@
 
     def on_message_begin(self) -> None:
         self.fields = []
-        self.block = bytearray()
+        self.room = MAX_PARSED_FIELDS
+        self.block = None
         # A head that comes behind the end of a message has begun as well.
         self.pending_bytes = self.pending_bytes or 1
         self.trailer_bytes = 0
@@ -102,10 +106,13 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.in_head:
-            if len(self.fields) < MAX_PARSED_FIELDS:
+            if self.room:
+                self.room -= 1
                 self.fields.append((name.lower(), value))
-            else:
-                self.block += encode_line(name.lower(), value)
+                return
+            if self.block is None:
+                self.block = bytearray()
+            self.block += encode_line(name.lower(), value)
             return
         # Trailer fields are dropped, but their size is limited as well.
         self.trailer_bytes += len(name) + len(value) + 4
@@ -118,10 +125,11 @@
         Raises:
             ProtocolError: The fields exceed a limit.
         """
-        headers = Headers(tuple(self.fields), bytes(self.block))
+        block = b"" if self.block is None else bytes(self.block)
+        headers = Headers(tuple(self.fields), block)
         pending_bytes = self.pending_bytes
         self.fields = []
-        self.block = bytearray()
+        self.block = None
         self.in_head = False
         self.pending_bytes = 0
         if pending_bytes > HEADER_BYTES_LIMIT:
@@ -157,13 +165,13 @@
 
     def end_part(self) -> None:
         """Appends the event of the parts of a body received so far."""
-        if self.parts:
-            self.events.append(BodyPart(b"".join(self.parts)))
-            self.parts = []
+        self.events.append(BodyPart(b"".join(self.parts)))
+        self.parts = []
 
     def take_events(self) -> list[Event]:
         """Returns the events that were not returned yet, and clears them."""
-        self.end_part()
+        if self.parts:
+            self.end_part()
         events, self.events = self.events, []
         return events
 
@@ -233,7 +241,8 @@
 
     def on_message_complete(self) -> None:
         """Appends the event of a complete message."""
-        self.end_part()
+        if self.parts:
+            self.end_part()
         self.events.append(BodyEnd())
         self.in_head = True
         self.pending_bytes = 0
@@ -347,7 +356,8 @@
             return
         self.pending_bytes = 0
         self.completed += 1
-        self.end_part()
+        if self.parts:
+            self.end_part()
         self.events.append(BodyEnd())
 
 
--- a/src/fulmarrudder/call/exchange.py
+++ b/src/fulmarrudder/call/exchange.py
@@ -21,9 +21,9 @@
     ResponseHead,
 )
 
-# Bytes of an answer that are buffered without a sink before reading pauses.
-# One read of a socket yields up to 64 KB.
-MAX_BUFFERED_BYTES = 16_384
+# Decoded events of an answer that are buffered without a sink before reading
+# pauses. One read of a socket yields one part, of 64 KB at most.
+MAX_BUFFERED_EVENTS = 1
 # How long after its deadline an answer with a head may still be completed. The
 # sink of a small answer gives up at the deadline itself.
 BODY_GRACE_S = 0.1
@@ -94,7 +94,6 @@
         "framing",
         "head",
         "buffered",
-        "buffered_bytes",
         "paused",
         "sink",
         "timer",
@@ -122,7 +121,6 @@
         self.head: ResponseHead | None = None
         self.sink: AnswerSink | None = None
         self.buffered: list = []
-        self.buffered_bytes = 0
         self.end: ExchangeEnd | None = None
         self.end_callbacks: list[Callable[[ExchangeEnd], None]] = []
         self.deadline = math.inf
@@ -196,7 +194,6 @@
         if len(data) != self.head.length:
             return None
         self.buffered = []
-        self.buffered_bytes = 0
         self.sink = NULL_SINK
         return data
 
@@ -205,7 +202,6 @@
         self.sink = sink
         sink.set_producer(self)
         buffered, self.buffered = self.buffered, []
-        self.buffered_bytes = 0
         for event in buffered:
             self.deliver(event)
         self.resumeProducing()
@@ -291,9 +287,7 @@
             _deliver(event, self.sink)
             return
         self.buffered.append(event)
-        if isinstance(event, BodyPart):
-            self.buffered_bytes += len(event.data)
-        if self.buffered_bytes > MAX_BUFFERED_BYTES:
+        if len(self.buffered) > MAX_BUFFERED_EVENTS:
             self.pauseProducing()
 
     def connection_lost(self) -> None:
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -14,6 +14,7 @@
     CALL_BYTES,
     CONNECTION_BYTES,
     FIELD_BYTES,
+    LIGHT_BYTES,
     WAITING_ANSWER_BYTES,
     Budget,
 )
@@ -204,6 +205,8 @@
         is_from_node: Whether another node has opened it.
         reading_paused: Whether reading is paused because of unread bytes.
         unread: Received bytes that are not decoded yet.
+        starts: Requests started in this turn of the loop.
+        is_heavy: Whether what it holds is charged after each read.
         drain: Resumes the connection once its answers are sent.
     """
 
@@ -219,6 +222,8 @@
         self.reading_paused = False
         self.closing = False
         self.unread = b""
+        self.starts = 0
+        self.is_heavy = False
         self.drain = _Drain(self)
 
     def connectionMade(self):  # noqa: N802
@@ -247,46 +252,50 @@
         if self.closing:
             return
         self.unread = self.unread + data if self.unread else data
+        if len(data) > LIGHT_BYTES:
+            self.is_heavy = True
         self.pump()
 
     def pump(self) -> None:
         """Handles what was received up to the first event that is blocked."""
-        left = MAX_STARTS
-        while not self.closing and (self.events or self._decode()):
+        self.starts = 0
+        while not self.closing and (
+            self.events or (self.unread and self._decode())
+        ):
             event = self.events[0]
-            if _is_blocked(event, self):
+            is_busy = self.calls or self.write_buffer.has_unsent_data()
+            if is_busy and _is_blocked(event, self):
+                break
+            if self.starts >= MAX_STARTS:
+                self.factory.clock.callLater(0, self.pump)
                 break
-            if isinstance(event, RequestHead):
-                if not left:
-                    self.factory.clock.callLater(0, self.pump)
-                    break
-                left -= 1
             self.events.popleft()
             _handle_event(event, self)
-        self._limit_unread()
-        self.charge()
-        self.factory.enforce_budget()
+        if self.unread or self.reading_paused:
+            self._limit_unread()
+        if self.is_heavy or self.events:
+            self.charge()
+            self.factory.enforce_budget()
 
     def _decode(self) -> bool:
         """Decodes the next bytes; returns whether there are events."""
         while self.unread and not self.events:
-            size = self._slice_bytes()
-            data, self.unread = self.unread[:size], self.unread[size:]
-            self._decode_slice(data)
+            data, self.unread = self.unread, b""
+            if len(data) > HEAD_SLICE_BYTES:
+                size = self._slice_bytes()
+                data, self.unread = data[:size], data[size:]
+            if not self.decoder.pending_bytes:
+                limit_s = self.factory.limits.header_ms / 1000
+                self.head_deadline = self.factory.clock.seconds() + limit_s
+            try:
+                self.events.extend(self.decoder.feed(data))
+            except ProtocolError as error:
+                self.events.extend(self.decoder.take_events())
+                # The frames of its traceback hold what was decoded.
+                self.events.append(error.with_traceback(None))
+                self.unread = b""
         return bool(self.events)
 
-    def _decode_slice(self, data: bytes) -> None:
-        if not self.decoder.pending_bytes:
-            limit_s = self.factory.limits.header_ms / 1000
-            self.head_deadline = self.factory.clock.seconds() + limit_s
-        try:
-            self.events.extend(self.decoder.feed(data))
-        except ProtocolError as error:
-            self.events.extend(self.decoder.take_events())
-            # The frames of its traceback hold what was decoded.
-            self.events.append(error.with_traceback(None))
-            self.unread = b""
-
     def _slice_bytes(self) -> int:
         if self.decoder.in_head:
             return HEAD_SLICE_BYTES
@@ -308,6 +317,7 @@
             size += CALL_BYTES + _size_of(call.head)
             size += body.received_bytes if body.replayable else 0
         size += WAITING_ANSWER_BYTES * max(0, len(self.calls) - 1)
+        self.is_heavy = size > CONNECTION_BYTES + CALL_BYTES + LIGHT_BYTES
         self.factory.budget.charge(self, size)
 
     def abort(self) -> None:
@@ -322,6 +332,7 @@
             return False
         if not self.calls:
             self.drain.wait()
+        self.is_heavy = True
         return True
 
     def can_overlap(self, head: RequestHead) -> bool:
@@ -330,6 +341,7 @@
             return False
         if self.factory.budget.is_high:
             return False
+        self.is_heavy = True
         heads = (head, *(call.head for call in self.calls))
         return all(_allows_overlap(head) for head in heads)
 
@@ -541,6 +553,7 @@
 @_handle_event.register
 def _(event: RequestHead, connection: CallConnection) -> None:
     connection.factory.active += 1
+    connection.starts += 1
     call = ServedCall(connection, event, is_next=not connection.calls)
     connection.calls.append(call)
     call.start()
--- a/src/fulmarrudder/call/write_buffer.py
+++ b/src/fulmarrudder/call/write_buffer.py
@@ -88,9 +88,12 @@
         transport = self.transport
         if not transport.connected or transport.disconnecting:
             return False
-        return not self._has_unsent_data()
+        return not self.has_unsent_data()
 
-    def _has_unsent_data(self) -> bool:
+    def has_unsent_data(self) -> bool:
+        """Returns whether the transport buffers data."""
+        if not self.can_write_directly:
+            return False
         # The transport buffers unsent bytes in these two attributes, and has
         # no public method that reports whether there are any.
         transport = self.transport
@@ -99,10 +102,10 @@
     @property
     def unsent_bytes(self) -> int:
         """Bytes that the peer's side has not taken yet."""
-        size = sum(map(len, self.pending))
         if not self.can_write_directly:
-            return size
+            return 0
         transport = self.transport
+        size = sum(map(len, self.pending))
         size += len(transport.dataBuffer) - transport.offset
         return size + transport._tempDataLen
 
@@ -123,7 +126,7 @@
         unsent bytes.
         """
         self.flush()
-        if self.can_write_directly and self._has_unsent_data():
+        if self.has_unsent_data():
             self.transport.abortConnection()
             return
         self.transport.loseConnection()
