--- a/src/fulmarrudder/call/exchange.py
+++ b/src/fulmarrudder/call/exchange.py
@@ -22,8 +22,8 @@
 )
 
 # Decoded events of an answer that are buffered without a sink before reading
-# pauses. One read of a socket yields a few, of 64 KB at most.
-MAX_BUFFERED_EVENTS = 4
+# pauses. One read of a socket yields one part, of 64 KB at most.
+MAX_BUFFERED_EVENTS = 1
 # How long after its deadline an answer with a head may still be completed. The
 # sink of a small answer gives up at the deadline itself.
 BODY_GRACE_S = 0.1
--- a/src/fulmarrudder/call/write_buffer.py
+++ b/src/fulmarrudder/call/write_buffer.py
@@ -95,14 +95,27 @@
         transport = self.transport
         if not transport.connected or transport.disconnecting:
             return False
-        return not self._has_unsent_data()
+        return not self.has_unsent_data()
 
-    def _has_unsent_data(self) -> bool:
+    def has_unsent_data(self) -> bool:
+        """Returns whether the transport buffers data."""
+        if not self.can_write_directly:
+            return False
         # The transport buffers unsent bytes in these two attributes, and has
         # no public method that reports whether there are any.
         transport = self.transport
         return bool(transport.dataBuffer or transport._tempDataBuffer)
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes that the peer's side has not taken yet."""
+        if not self.can_write_directly:
+            return 0
+        transport = self.transport
+        size = sum(map(len, self.pending))
+        size += len(transport.dataBuffer) - transport.offset
+        return size + transport._tempDataLen
+
     def abort(self) -> None:
         """Discards the buffered data, and resets the connection."""
         self.pending = []
@@ -120,7 +133,7 @@
         unsent bytes.
         """
         self.flush()
-        if self.can_write_directly and self._has_unsent_data():
+        if self.has_unsent_data():
             self.transport.abortConnection()
             return
         self.transport.loseConnection()
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -24,6 +24,7 @@
     RouteChange,
     RouteTable,
 )
+from fulmarrudder.call.budget import BudgetLimits
 from fulmarrudder.call.load_balancer import VACANCIES_METRIC
 from fulmarrudder.call.start import START_S
 from fulmarrudder.clock import wall_seconds
@@ -100,6 +101,7 @@
         retry_ratio: Retries per request that the whole fleet may make.
         retry_slack: Retries that the fleet may make beyond that ratio.
         link_bytes_per_s: Speed of the instance's network link.
+        budget: What the connections of callers and nodes may hold.
         credentials: What is demanded of a node that may be behind.
         cold_excess: Requests that a cold target may get for each that its
             service names.
@@ -114,6 +116,7 @@
     retry_ratio: float
     retry_slack: float
     link_bytes_per_s: float = math.inf
+    budget: BudgetLimits = BudgetLimits()
     credentials: Credentials = Credentials()
     cold_excess: float = 1.0
     quota_bounds: QuotaBounds = QuotaBounds()
@@ -342,6 +345,7 @@
             spans=self.spans,
             metrics=self.metrics,
         )
+        self.calls.budget.limits = settings.budget
         self.monitor = Monitor(reactor, self.facts, self.gossip.broadcast)
         self.move_executor = MoveExecutor(
             clock=reactor,
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -13,6 +13,7 @@
 from twisted.logger import globalLogBeginner
 
 from fulmarrudder import __version__
+from fulmarrudder.call.budget import limits_of_machine
 from fulmarrudder.clock import use_monotonic_time, wall_seconds
 from fulmarrudder.distribution import Peer
 from fulmarrudder.distribution.readers import ReaderDuty
@@ -353,6 +354,7 @@
         self.node.quotas.set_bounds(
             self.node.settings.quota_bounds, self.reactor.seconds()
         )
+        self.node.calls.budget.limits = self.node.settings.budget
         logs.setup(settings.log_level, node=settings.node)
         logs.info("reloaded", service=settings.service)
 
@@ -434,6 +436,7 @@
         retry_slack=settings.retry_slack,
         link_bytes_per_s=settings.link_bytes_per_s,
         cold_excess=settings.cold_excess,
+        budget=limits_of_machine(settings.memory_bytes, settings.descriptors),
         credentials=Credentials(
             fail_closed=settings.fail_closed, unconfirmed_s=settings.revoke_s
         ),
