A target that was not heard for 4 s counts as cold; few slots are offered in time

Cause: a node that was frozen, or whose target was cut off, goes on with what it knew; and the offer of few slots reached others only after the first wave of an evacuation's end. Change: warm_deadline of the local target; an evacuated target counts as cold from the beginning; the limit follows the tick of the presence in place of a timer of its own.

--- a/src/fulmarrudder/call/cold.py
+++ b/src/fulmarrudder/call/cold.py
@@ -4,7 +4,7 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from fulmarrudder.call.target_limits import LimitSource, TargetLimits
 from fulmarrudder.clock import Clock
@@ -22,19 +22,25 @@
         excess: Requests that a cold target may get for each that its service
             names.
         per_s: The limit in force; infinite while the target is warm.
-        timer: Lifts the limit once the target is warm, or None.
+        is_evacuated: Returns whether the target gets no requests. It may have
+            become cold once it does again, and offers few slots by then.
     """
 
     def __init__(
-        self, *, clock: Clock, local_target: LocalTarget, limits: TargetLimits
+        self,
+        *,
+        clock: Clock,
+        local_target: LocalTarget,
+        limits: TargetLimits,
+        is_evacuated: Callable[[], bool],
     ):
         self.clock = clock
         self.local_target = local_target
+        self.is_evacuated = is_evacuated
         self.limits = limits
         self.services: dict[str, float] = {}
         self.excess = 1.0
         self.per_s = math.inf
-        self.timer = None
 
     @property
     def is_limiting(self) -> bool:
@@ -57,21 +63,15 @@
 
     def refresh(self) -> None:
         """Limits the target or lifts the limit, by what is known now."""
-        if self.timer is not None and self.timer.active():
-            self.timer.cancel()
-        self.timer = None
         per_s = self._limit_now()
         if per_s != self.per_s:
             self._apply(per_s)
-        latest = self.local_target.latest
-        if not self.is_limiting or self.local_target.presumed_cold:
-            return
-        left_s = latest.cold_until - self.clock.seconds()
-        self.timer = self.clock.callLater(max(0.0, left_s), self.refresh)
 
     def _limit_now(self) -> float:
         latest = self.local_target.latest
-        if latest is None or not self.local_target.is_cold:
+        if latest is None or not self.services:
+            return math.inf
+        if not (self.local_target.is_cold or self.is_evacuated()):
             return math.inf
         return self.excess * self.services.get(latest.service, math.inf)
 
@@ -82,12 +82,11 @@
         if not self.is_limiting:
             logs.info("target-warm", target=latest.id if latest else None)
             return
-        presumed = self.local_target.presumed_cold
         left_s = max(0.0, latest.cold_until - self.clock.seconds())
         logs.info(
             "target-cold",
             target=latest.id,
             per_s=per_s,
-            presumed=presumed,
-            left_ms=None if presumed else int(left_s * 1000),
+            presumed=not left_s,
+            left_ms=int(left_s * 1000),
         )
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -186,7 +186,10 @@
         )
         limits = TargetLimits(local_target, self.slots)
         self.cold = ColdLimit(
-            clock=clock, local_target=local_target, limits=limits
+            clock=clock,
+            local_target=local_target,
+            limits=limits,
+            is_evacuated=lambda: self.is_evacuated,
         )
         self.advice = AdviceTracker(
             header_names=header_names,
@@ -221,8 +224,8 @@
         """
         if self.is_evacuated:
             self.slots.refuse_waiting(EVACUATED.detail)
-            return
-        self.local_target.presumed_cold = True
+        else:
+            self.local_target.presumed_cold = True
         self.cold.refresh()
 
     async def serve(
--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -19,6 +19,9 @@
 
 # Three intervals of a target that announces itself every second.
 ANNOUNCEMENT_TIMEOUT_S = 3.0
+# A target that was not heard for longer may have become cold again, or the node did
+# not run.
+WARM_TIMEOUT_S = 4.0
 # Sequence of what a leaving target told last: higher than that of any
 # announcement of the same incarnation, so that a delayed one does not undo it.
 FINAL_SEQUENCE = 1 << 60
@@ -102,6 +105,8 @@
         slot_limit: Slots that the node offers to others at most.
         presumed_cold: Whether the target counts as cold until it announces
             otherwise.
+        warm_deadline: Clock seconds after which it counts as cold as well,
+            unless it announces otherwise.
     """
 
     def __init__(
@@ -119,6 +124,7 @@
         self.unconfirmed_until = 0.0
         self.slot_limit = math.inf
         self.presumed_cold = False
+        self.warm_deadline = 0.0
 
     @property
     def offered_slots(self) -> int:
@@ -170,7 +176,9 @@
         self.latest = announcement
         self.presumed_cold = False
         self.unreachable = False
-        self.deadline = self.clock.seconds() + self.announcement_timeout_s
+        now = self.clock.seconds()
+        self.deadline = now + self.announcement_timeout_s
+        self.warm_deadline = now + WARM_TIMEOUT_S
         return True
 
     @property
@@ -178,7 +186,8 @@
         """Whether the target takes few requests, as far as is known."""
         if self.latest is None or self.presumed_cold:
             return True
-        return self.clock.seconds() < self.latest.cold_until
+        now = self.clock.seconds()
+        return now < self.latest.cold_until or now >= self.warm_deadline
 
     def mark_unreachable(self) -> None:
         """Records that nothing listens at the target's address."""
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -628,10 +628,13 @@
     def refresh_presence(self, *, force: bool = False) -> None:
         """Broadcasts this node's presence if it has changed.
 
+        A target that has become cold or warm offers other slots.
+
         Args:
             force: Whether to broadcast it even if it has not changed, so that
                 it supersedes what other nodes may have concluded.
         """
+        self.host.cold.refresh()
         self.presence_broadcaster.refresh(
             leaving=self.host.leaving, force=force
         )
--- a/tests/call/test_cold.py
+++ b/tests/call/test_cold.py
@@ -6,6 +6,7 @@
 
 from fulmarrudder.call.target_limits import LimitSource, TargetLimits
 from fulmarrudder.membership import Announcement
+from fulmarrudder.membership.announce import WARM_TIMEOUT_S
 from fulmarrudder.model import Condition, Evacuation, Service
 from tests.call.test_host import Harness, RecordingSink
 
@@ -75,6 +76,7 @@
             _, found = self.send_request(left=0.5)
             running.append(found)
             self.clock.advance(STEP_S)
+            self.host.cold.refresh()
             while len(self.sent_at) < len(self.pool.made):
                 self.answer(len(self.sent_at))
                 self.sent_at.append(self.clock.seconds())
@@ -185,15 +187,39 @@
     assert scene.most_in_a_second(0.0, 1.0) > BOUND
 
 
+# It may have been cut off, and have become cold behind the cut.
+def test_target_that_was_not_heard_for_long_counts_as_cold():
+    scene = Scene()
+    scene.tell()
+    scene.load(WARM_TIMEOUT_S - 0.5)
+    assert not scene.host.cold.is_limiting
+    scene.load(0.6)
+    assert scene.host.cold.is_limiting
+    scene.tell()
+    assert not scene.host.cold.is_limiting
+
+
+def test_evacuated_target_offers_few_slots_before_traffic_returns():
+    scene = Scene()
+    scene.tell()
+    scene.evacuate(5)
+    scene.tell()
+    assert scene.local_target.offered_slots < 6
+
+
 # Thawed, a node works off what had queued up at it meanwhile.
-def test_node_that_was_frozen_sends_few_to_its_cold_target():
+@pytest.mark.parametrize(("told_s", "frozen_s"), [(8.0, 3.0), (0.0, 5.0)])
+def test_node_that_was_frozen_sends_few_to_its_cold_target(told_s, frozen_s):
     scene = Scene()
-    scene.become_cold(8.0)
+    scene.local_target.announcement_timeout_s = 15.0
+    scene.become_cold(told_s)
     scene.tell()
     scene.load(0.5)
-    scene.clock.advance(3.0)
+    scene.clock.advance(frozen_s)
+    thawed_at = scene.clock.seconds()
     scene.load(2.0)
-    assert scene.most_in_a_second(0.0, scene.clock.seconds()) <= BOUND
+    most = scene.most_in_a_second(thawed_at, scene.clock.seconds())
+    assert 0 < most <= BOUND
 
 
 @pytest.mark.parametrize(
