An order that was written again takes its move along

Cause: a node that read an order in a later era for the first time, before anybody had reported on its move, knew the move by another id than the nodes that had it before; both decided, and neither could record (found by the state machine of faults: a restart and two eras before the first step of a move). Change: the move follows its record to the new position, with its progress, brakes and results, so that all nodes know it by the same id. A departure that the store holds already is not written twice.

--- a/src/fulmarrudder/move/request.py
+++ b/src/fulmarrudder/move/request.py
@@ -6,8 +6,9 @@
 
 import dataclasses
 from collections.abc import Iterable
+from typing import TypeVar
 
-from fulmarrudder.model import MoveProgress
+from fulmarrudder.model import Brake, MoveProgress
 from fulmarrudder.model.position import era_of
 from fulmarrudder.state_machine import Move, Phase
 
@@ -117,6 +118,9 @@
     is_established: bool
 
 
+_Recorded = TypeVar("_Recorded", MoveResult, RecordedMove)
+
+
 class MoveRequestStore:
     """Requests of the operator and their results.
 
@@ -132,10 +136,13 @@
             be one of an earlier era whose record was written again.
         recorded: Positions of the requests to each service and target version
             that records tell.
+        later_ids: Present id of each request whose record has got another
+            position, by each id that it had.
     """
 
     def __init__(self):
         self.doubtful: dict[str, MoveRequest] = {}
+        self.later_ids: dict[str, str] = {}
         self.recorded: dict[tuple[str, str], set[int]] = {}
         self.repeated: dict[str, str] = {}
         self.requests: dict[str, MoveRequest] = {}
@@ -193,8 +200,66 @@
                 offset=offset,
             )
 
+    def follow(self, service: str, offset: int) -> str | None:
+        """Handles that the record of a request has another position.
+
+        Nodes that read it there for the first time know the request by that.
+
+        Returns:
+            The id of the request from now on, or None if there is no request.
+        """
+        request = self.requests.get(service)
+        if request is None:
+            return None
+        self.doubtful.pop(service, None)
+        present = request_id(service, request.to_version, offset)
+        self.requests[service] = dataclasses.replace(
+            request, id=present, offset=offset
+        )
+        if self.repeated.get(service) == request.id:
+            self.repeated[service] = present
+        self.later_ids[request.id] = present
+        current = {request.id for request in self.requests.values()}
+        self.later_ids = {
+            earlier: present if later == request.id else later
+            for earlier, later in self.later_ids.items()
+            if later in current or later == request.id
+        }
+        if service in self.results:
+            self.results[service] = self.followed(self.results[service])
+        return present
+
+    def followed(self, told: _Recorded) -> _Recorded:
+        """Returns a record of a move with the present position of its request."""
+        if told.request_offset is None:
+            return told
+        recorded = request_id(
+            told.service, told.to_version, told.request_offset
+        )
+        present = self.later_ids.get(recorded)
+        if present is None:
+            return told
+        return dataclasses.replace(told, request_offset=_offset_in(present))
+
+    def followed_facts(
+        self, facts: Iterable[MoveProgress | Brake]
+    ) -> tuple[MoveProgress | Brake, ...]:
+        """Returns facts of moves under the ids that these have now.
+
+        Args:
+            facts: Facts of moves that this node has received.
+        """
+        if not self.later_ids:
+            return ()
+        return tuple(
+            dataclasses.replace(fact, move=self.later_ids[fact.move])
+            for fact in facts
+            if fact.move in self.later_ids
+        )
+
     def add_move_result(self, result: MoveResult) -> None:
         """Stores a recorded result, unless that of a later request is known."""
+        result = self.followed(result)
         known = self.results.get(result.service)
         if known is not None and None not in (
             known.request_offset,
@@ -206,6 +271,7 @@
 
     def add_recorded_move(self, recorded: RecordedMove) -> None:
         """Stores a recorded move, and what its record tells of earlier ones."""
+        recorded = self.followed(recorded)
         if recorded.result is not None:
             self.add_move_result(recorded.result)
         offset = recorded.request_offset or 0
@@ -305,6 +371,7 @@
             move.to_version,
         ):
             return False
+        result = self.followed(result)
         if result.request_offset is not None:
             return result.request_offset == move.opened
         # A result that names no request may be that of the one before, until
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -36,6 +36,7 @@
 )
 from fulmarrudder.model import (
     Arrangement,
+    Brake,
     Condition,
     Evidence,
     Fact,
@@ -453,6 +454,13 @@
             )
             self._sync_moves()
 
+    def follow_move_request(self, service: str, offset: int) -> None:
+        """Handles that the record of a service's request has a new position."""
+        followed = self.move_requests.follow(service, offset)
+        if followed is not None:
+            logs.info("move-followed", move=followed)
+            self._sync_moves()
+
     def add_move_result(self, result: MoveResult) -> None:
         """Adds the recorded result of a move."""
         self.move_requests.add_move_result(result)
@@ -699,7 +707,7 @@
     def _on_new_fact(self, fact: Fact) -> None:
         if isinstance(fact, Evidence):
             self.monitor.add_evidence(fact)
-        if isinstance(fact, MoveProgress):
+        if isinstance(fact, MoveProgress | Brake):
             self._sync_moves()
         if isinstance(fact, SourceEra):
             self.on_source_era(fact.number)
@@ -744,6 +752,11 @@
     def _sync_moves(self) -> None:
         progress = self.facts.all_of(MoveProgress)
         self.move_requests.identify(progress)
+        for fact in self.move_requests.followed_facts(
+            (*progress, *self.facts.brakes)
+        ):
+            self.gossip.broadcast(fact)
+        progress = self.facts.all_of(MoveProgress)
         for closed in self.move_requests.unreported_results(progress):
             logs.info("move-closed", move=closed.move, phase=closed.phase)
             # Merged, it is reported no more.
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -184,6 +184,9 @@
             due_s=settings.config_apply_s,
             max_retry_s=self.duty.retry_delay_s,
             versioned_keys=frozenset({CONFIG_KEY}),
+            on_moved=self.supervisor.guard(
+                "operator-records", self.operator_records.follow_record
+            ),
         )
         self.operator_records.is_in_doubt = self.tail.is_in_doubt
         self.refresher = Refresher(
--- a/src/fulmarrudder/platform/directory.py
+++ b/src/fulmarrudder/platform/directory.py
@@ -62,6 +62,7 @@
         self.registered = False
         self.first_start = False
         self.is_lost = True
+        self.own_entry = None
 
     async def fetch_peers(self) -> tuple[Peer, ...]:
         """Reads the records of all nodes.
@@ -143,9 +144,8 @@
         try:
             if self.is_lost:
                 await self.fetch_peers()
-                if self.own_entry == self._entry():
-                    return
-            await self._register()
+            if not self.registered or self.own_entry != self._entry():
+                await self._register()
         except StoreError as error:
             raise DepartureRecordError(str(error)) from error
 
--- a/src/fulmarrudder/platform/operator_records.py
+++ b/src/fulmarrudder/platform/operator_records.py
@@ -65,6 +65,13 @@
         elif record.key.startswith(ROLLOUT_PREFIX):
             self._apply_rollout(record, record.key.removeprefix(ROLLOUT_PREFIX))
 
+    def follow_record(self, record: KeyedRecord) -> None:
+        """Handles that the latest record of a key has another position."""
+        if record.key.startswith(ROLLOUT_PREFIX) and record.value is not None:
+            self.node.follow_move_request(
+                record.key.removeprefix(ROLLOUT_PREFIX), record.offset
+            )
+
     def _apply_config_record(self, record: KeyedRecord) -> None:
         if record.value is None:
             return
@@ -157,7 +164,10 @@
         """
         latest = await self.store.read_latest(STATUS_TOPIC)
         end = latest.next_offset
-        recorded = tuple(_recorded_moves(latest.records))
+        recorded = tuple(
+            self.node.move_requests.followed(move)
+            for move in _recorded_moves(latest.records)
+        )
         for move in lost_statuses(self.node.recorded_moves(), recorded):
             if not may_write():
                 return False
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -9,6 +9,7 @@
 
 from fulmarrudder.clock import Clock
 from fulmarrudder.log import Backoff
+from fulmarrudder.node.supervisor import ignore
 from fulmarrudder.observe import logs
 from fulmarrudder.platform.errors import (
     EraError,
@@ -47,6 +48,8 @@
     Attributes:
         topic: Name of the topic.
         on_record: Called with each record.
+        on_moved: Called with the latest record of a key when it has another
+            position, as the store has come back from an older copy.
         on_answer: Called after the records of an answer were passed on, with
             the offset from which was read, -1 for the latest ones.
         reads_from: Returns the clock seconds from which this node reads; until
@@ -86,6 +89,7 @@
         due_s: float,
         max_retry_s: Callable[[], float] = lambda: RETRY_MAX_DELAY_S,
         versioned_keys: frozenset[str] = frozenset(),
+        on_moved: Callable[[KeyedRecord], None] = ignore,
     ):
         """Builds a tail.
 
@@ -100,12 +104,14 @@
             due_s: Seconds within which a record takes effect everywhere.
             max_retry_s: Returns the longest pause after a failed read.
             versioned_keys: Keys whose values tell themselves which is later.
+            on_moved: See `Tail`.
         """
         self.store = store
         self.clock = clock
         self.topic = topic
         self.on_record = on_record
         self.on_answer = on_answer
+        self.on_moved = on_moved
         self.reads_from = reads_from
         self.max_retry_s = max_retry_s
         self.poll_s = POLL_FRACTION * due_s
@@ -227,9 +233,11 @@
         if standing is Standing.AWAITED:
             return True
         self.offsets[record.key] = record.offset
-        if standing is Standing.NEW:
-            self.rewrites.passed(record)
-            self.on_record(record)
+        if standing is Standing.KNOWN:
+            self.on_moved(record)
+            return True
+        self.rewrites.passed(record)
+        self.on_record(record)
         return True
 
     def follow(self, end: int) -> None:
