--- a/tests/platform/era_store.py
+++ b/lab/fulmarrudder_lab/era_store.py
@@ -1,31 +1,26 @@
-"""A store that goes back to an older copy, behind the real client of it."""
+"""Stand-in of the platform's store that comes back from older copies.
+
+It answers calls in memory; who asks brings calls and answers across.
+"""
 
 import base64
 import copy
 import dataclasses
 import json
-import urllib.parse
-
-from twisted.internet.task import Clock
-
-from fulmarrudder.call.errors import ConnectError
-from fulmarrudder.call.message import (
-    BodyEnd,
-    BodyPart,
-    Framing,
-    Headers,
-    ResponseHead,
-)
-from fulmarrudder.platform.store import READ_HEADER
-from tests.call.test_host import FakeConnection
 
-LATENCY_S = 0.01
-POLL_S = 0.05
+from fulmarrudder.clock import Clock
+from fulmarrudder.platform.store import READ_HEADER
 
 
 @dataclasses.dataclass(slots=True)
 class Image:
-    """What the store holds; groups are pairs of generation and members."""
+    """What the store holds.
+
+    Attributes:
+        topics: Keys and values of the records of each topic.
+        generation: Generation of the one group.
+        members: Clock seconds at which each member was last heard.
+    """
 
     topics: dict = dataclasses.field(default_factory=dict)
     generation: int = 0
@@ -137,80 +132,3 @@
         if self.image.members.pop(json.loads(body)["memberId"], None):
             self.image.generation += 1
         return 200, b"{}"
-
-
-class EraConnection(FakeConnection):
-    """A connection of one caller to the store."""
-
-    def __init__(self, store, caller):
-        super().__init__(store.clock)
-        self.store = store
-        self.caller = caller
-
-    def start(self, head, body, fields=(), *, expect_continue=False):
-        exchange = super().start(head, body, fields)
-        path, _, query = head.target.decode().partition("?")
-        query = dict(urllib.parse.parse_qsl(query))
-        wait_s = int(query.get("waitMs", 0)) / 1000
-        self.clock.callLater(
-            LATENCY_S,
-            self._execute,
-            exchange,
-            (path, query, b"".join(body.replay_buffer)),
-            self.clock.seconds() + wait_s,
-        )
-        return exchange
-
-    def drop(self, reason):
-        """Ends a connection that is not used again."""
-
-    def _execute(self, exchange, call, give_up_at):
-        store = self.store
-        if self.caller in store.cut or exchange.end is not None:
-            return
-        answer = store.answer(*call, give_up_at)
-        if answer is None:
-            self.clock.callLater(
-                POLL_S, self._execute, exchange, call, give_up_at
-            )
-            return
-        if store.lost and call[0].endswith(store.lost):
-            return
-        delay_s = LATENCY_S + store.delays.get(self.caller, 0.0)
-        self.clock.callLater(delay_s, _send, exchange, store.era, *answer)
-
-
-class EraPool:
-    """Connections of one caller to the store, and to nobody else."""
-
-    def __init__(self, store, caller):
-        self.store = store
-        self.caller = caller
-
-    async def acquire(self, address, **_):
-        if self.caller in self.store.cut:
-            raise ConnectError(address)
-        return EraConnection(self.store, self.caller)
-
-    def sweep(self):
-        """Keeps no connections."""
-
-    def close(self):
-        """Keeps no connections."""
-
-
-def _send(exchange, era, status, body):
-    if exchange.end is not None:
-        return
-    fields = () if era is None else ((b"store-era", str(era).encode()),)
-    exchange.receive(
-        ResponseHead(
-            status=status,
-            reason=b"",
-            headers=Headers(fields),
-            framing=Framing.LENGTH,
-            length=len(body),
-        )
-    )
-    exchange.receive(BodyPart(body))
-    exchange.receive(BodyEnd())
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -11,7 +11,8 @@
 from fulmarrudder.platform.rewrites import AWAIT_S
 from fulmarrudder.platform.settings import parse_machine_settings
 from fulmarrudder.state_machine import OPEN_PHASES, Phase
-from tests.platform.era_store import EraPool, EraStore
+from fulmarrudder_lab.era_store import EraStore
+from tests.platform.era_connections import EraPool
 from tests.platform.test_config import CONFIG
 from tests.platform.test_http import send_heartbeat
 from tests.platform.test_settings import SETTINGS
