--- a/tests/platform/test_follower.py
+++ b/tests/platform/test_follower.py
@@ -9,6 +9,7 @@
 from fulmarrudder.distribution.message import SourceRecord, SourceUpdate
 from fulmarrudder.distribution.readers import ReaderDuty
 from fulmarrudder.distribution.topology import Topology
+from fulmarrudder.model.position import position_of
 from fulmarrudder.platform.era import EraTracker
 from fulmarrudder.platform.follower import Follower
 from fulmarrudder.platform.refresher import REFRESH_DELAY_S, Refresher
@@ -163,3 +164,13 @@
     scene.clock.advance(REFRESH_DELAY_S)
     scene.serve(next_offset=11)
     assert scene.told == []
+
+
+def test_update_of_an_earlier_era_is_ignored_and_a_later_one_adopted(scene):
+    before = scene.tail.next_offset
+    scene.follower.era.note(1)
+    scene.hear(10, 30)
+    assert scene.tail.next_offset == before
+    later = position_of(2, 5)
+    scene.hear(later, later)
+    assert scene.follower.era.number == 2
