Quotas: counts that are not reported survive a version with another tenant

Cause: a version that added or removed a tenant with a limit dropped the list of buckets with counts to report, until each was asked for again.

The test failed before (no counts in the report).

--- a/src/fulmarrudder/quotas/admission.py
+++ b/src/fulmarrudder/quotas/admission.py
@@ -98,7 +98,11 @@
         self.is_filled = True
         if buckets.keys() != self.buckets.keys():
             self._index(buckets)
-            self.changed = {}
+            self.changed = {
+                name: bucket
+                for name, bucket in self.changed.items()
+                if name in buckets
+            }
         self.buckets = buckets
 
     def set_bounds(self, bounds: QuotaBounds, now: float) -> None:
--- /dev/null
+++ b/tests/quotas/test_admission.py
@@ -0,0 +1,62 @@
+"""Decisions of one node on the requests of tenants."""
+
+import pytest
+
+from fulmarrudder.quotas import FleetQuotas, QuotaSum, QuotaUse
+from tests.quotas.fleet import BOUNDS, tenant_of
+
+
+def lone_node(*tenants, now=0.0):
+    """Returns a node that is the whole fleet and hears itself."""
+    quotas = FleetQuotas("a1", "a", now, BOUNDS)
+    quotas.set_tenants((), now)
+    quotas.view.hear("a", 0.0, now)
+    quotas.set_tenants(tenants, now)
+    return quotas
+
+
+def test_what_is_not_reported_survives_a_version_with_another_tenant():
+    one, two = tenant_of(50.0, name="one"), tenant_of(50.0, name="two")
+    quotas = lone_node(one)
+    quotas.admit(one, 0.1)
+    quotas.set_tenants((one, two), 0.2)
+    assert quotas.take_report(0.3).counts[1:] == (1, 0)
+
+
+def test_own_requests_are_not_counted_twice():
+    tenant = tenant_of(50.0)
+    quotas = lone_node(tenant)
+    quotas.admit(tenant, 0.0)
+    before = quotas.buckets["acme"].tokens
+    report = quotas.take_report(0.0)
+    told = QuotaSum(data_centre="a", counts=report.counts, missing=0.0)
+    quotas.hear(QuotaUse(sums=(told,), included=(("a1", report.number),)), 0.0)
+    assert quotas.buckets["acme"].tokens == before
+    quotas.hear(QuotaUse(sums=(told,)), 0.0)
+    assert quotas.buckets["acme"].tokens == before - 1
+
+
+def test_refund_is_told_as_a_request_less():
+    tenant = tenant_of(50.0)
+    quotas = lone_node(tenant)
+    quotas.admit(tenant, 0.0)
+    quotas.take_report(0.0)
+    quotas.refund(tenant)
+    assert quotas.take_report(0.0).counts[1:] == (-1, 0)
+
+
+@pytest.mark.parametrize("tokens", [0.0, -4.0])
+def test_retry_after_is_the_time_until_the_next_token(tokens):
+    tenant = tenant_of(2.0)
+    quotas = lone_node(tenant)
+    quotas.buckets["acme"].tokens = tokens
+    refusal = quotas.admit(tenant, 0.0)
+    assert refusal.retry_after_s == pytest.approx((1 - tokens) / 2.0)
+
+
+def test_version_without_limits_forgets_all_buckets():
+    tenant = tenant_of(2.0)
+    quotas = lone_node(tenant)
+    quotas.set_tenants(None, 1.0)
+    assert not quotas.has_limits
+    assert quotas.admit(tenant, 1.0) is None
