--- a/tests/platform/test_era.py
+++ b/tests/platform/test_era.py
@@ -71,6 +71,15 @@
         result_of(call)
 
 
+def test_late_first_answer_of_an_earlier_era_is_void():
+    harness = Harness()
+    call = ensureDeferred(harness.store.read_end("t"))
+    harness.store.era.note(2)
+    answer(harness.pool.made[-1].exchange, 1, body=b'{"endOffset": 3}')
+    with pytest.raises(EraError):
+        result_of(call)
+
+
 def test_position_of_an_earlier_era_is_not_sent(harness):
     harness.store.era.note(2)
     for call in (
--- a/tests/platform/test_era_faults.py
+++ b/tests/platform/test_era_faults.py
@@ -27,7 +27,8 @@
         self.world = World(pathlib.Path(self.folder.name), self.patch)
         self.world.pass_time(ORDERED_AT_S)
         self.world.order()
-        # A node whose answer was lost, or that has forgotten, may write again.
+        # A node whose answer was lost or late, or that has forgotten, may
+        # write again.
         self.writes_once = True
 
     @rule(seconds=st.sampled_from([0.05, 0.3, 1.0, 3.0, 6.0]))
@@ -57,6 +58,7 @@
     @rule(name=NAMES, late_s=st.sampled_from([0.0, 0.3, 1.2]))
     def answer_late(self, name, late_s):
         self.world.store.delays[name] = late_s
+        self.writes_once = self.writes_once and not late_s
 
     @precondition(lambda self: not self.world.cut and not self.world.store.cut)
     @rule(name=NAMES)
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -229,9 +229,29 @@
         world.kill(name)
     for name in names:
         world.start(name)
+    world.pass_time(1.0)
+    assert not any(d.node.open_moves() for d in world.daemons.values())
     world.check_settled()
 
 
+# It begins the move afresh; what the others know of it stands.
+def test_move_begun_again_by_a_node_cut_off_from_the_others_ends(world):
+    world.pass_time(12.0)
+    world.kill("n3")
+    world.cut.add("n3")
+    world.store.cut = {"n1", "n2"}
+    world.go_back(12.5, rewritten_after=0.1)
+    world.pass_time(1.0)
+    world.start("n3")
+    world.pass_time(6.0)
+    assert world.daemons["n3"].node.open_moves()[0].permille
+    world.cut.clear()
+    world.store.cut.clear()
+    world.pass_time(3.0)
+    assert not any(d.node.open_moves() for d in world.daemons.values())
+    world.check_settled(writes_once=False)
+
+
 @pytest.mark.parametrize("rewritten_after_s", [0.1, 3.0, 9.0])
 def test_order_that_is_written_again_goes_on(world, rewritten_after_s):
     world.pass_time(2.0)
