A tail reads what is awaited though an answer is arriving

Cause: an answer that was on its way when the awaited records were due set the position again, and they were never read (found by reading). Change: such an answer sets no position. By which id a move is known is a module of its own, move/identity. Test: fails without the change of the tail.

--- a/src/fulmarrudder/move/__init__.py
+++ b/src/fulmarrudder/move/__init__.py
@@ -4,7 +4,8 @@
 `monitor` sends brakes, `schedule` chooses the next action, `controller` appends
 records to the log, `closing` says what follows an event of a move's verdict, and
 `confirm` reports the data centres that have applied a record. `request` stores
-the moves that a fleet's operator requests.
+the moves that a fleet's operator requests, `identity` knows them again in a later
+era of their source.
 """
 
 from fulmarrudder.move.analysis import (
@@ -21,13 +22,13 @@
 from fulmarrudder.move.confirm import Confirmation, confirm
 from fulmarrudder.move.controller import Controller
 from fulmarrudder.move.errors import MoveError
+from fulmarrudder.move.identity import request_id
 from fulmarrudder.move.monitor import Monitor
 from fulmarrudder.move.request import (
     MoveRequest,
     MoveRequestStore,
     MoveResult,
     RecordedMove,
-    request_id,
 )
 from fulmarrudder.move.schedule import next_action
 from fulmarrudder.move.stats import Counts, MoveStats, RouteEvidence
--- a/src/fulmarrudder/move/request.py
+++ b/src/fulmarrudder/move/request.py
@@ -8,8 +8,14 @@
 from collections.abc import Iterable
 from typing import TypeVar
 
-from fulmarrudder.model import Brake, MoveProgress
+from fulmarrudder.model import MoveProgress
 from fulmarrudder.model.position import era_of
+from fulmarrudder.move.identity import (
+    Identities,
+    identify,
+    offset_in,
+    request_id,
+)
 from fulmarrudder.state_machine import Move, Phase
 
 ENDED = frozenset({Phase.COMPLETED, Phase.TAKEN_BACK})
@@ -36,17 +42,6 @@
     offset: int
 
 
-def request_id(service: str, to_version: str, offset: int) -> str:
-    """Returns the id of the request whose record has a position."""
-    return f"{service}/{to_version}/{offset}"
-
-
-def _offset_in(move: str) -> int | None:
-    """Returns the position that the id of a request tells, or None."""
-    offset = move.rpartition("/")[2]
-    return int(offset) if offset.isdecimal() else None
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class MoveResult:
     """Recorded result of the latest move of a service.
@@ -136,13 +131,13 @@
             be one of an earlier era whose record was written again.
         recorded: Positions of the requests to each service and target version
             that records tell.
-        later_ids: Present id of each request whose record has got another
-            position, by each id that it had.
+        identities: Present ids of requests whose records have got another
+            position.
     """
 
     def __init__(self):
         self.doubtful: dict[str, MoveRequest] = {}
-        self.later_ids: dict[str, str] = {}
+        self.identities = Identities()
         self.recorded: dict[tuple[str, str], set[int]] = {}
         self.repeated: dict[str, str] = {}
         self.requests: dict[str, MoveRequest] = {}
@@ -185,15 +180,12 @@
         known = {target: set(at) for target, at in self.recorded.items()}
         for latest in progress:
             target = (latest.service, latest.to_version)
-            offset = _offset_in(latest.move)
+            offset = offset_in(latest.move)
             if offset is not None:
                 known.setdefault(target, set()).add(offset)
         for service, read in self.doubtful.items():
             found = known.get((service, read.to_version), set())
-            earlier = [o for o in found if era_of(o) < era_of(read.offset)]
-            offset = read.offset
-            if earlier and offset not in found:
-                offset = max(earlier)
+            offset = identify(read.offset, found)
             self.requests[service] = dataclasses.replace(
                 read,
                 id=request_id(service, read.to_version, offset),
@@ -218,13 +210,9 @@
         )
         if self.repeated.get(service) == request.id:
             self.repeated[service] = present
-        self.later_ids[request.id] = present
-        current = {request.id for request in self.requests.values()}
-        self.later_ids = {
-            earlier: present if later == request.id else later
-            for earlier, later in self.later_ids.items()
-            if later in current or later == request.id
-        }
+        self.identities.follow(
+            request.id, present, {r.id for r in self.requests.values()}
+        )
         if service in self.results:
             self.results[service] = self.followed(self.results[service])
         return present
@@ -233,29 +221,10 @@
         """Returns a record of a move with the present position of its request."""
         if told.request_offset is None:
             return told
-        recorded = request_id(
+        offset = self.identities.offset_of(
             told.service, told.to_version, told.request_offset
         )
-        present = self.later_ids.get(recorded)
-        if present is None:
-            return told
-        return dataclasses.replace(told, request_offset=_offset_in(present))
-
-    def followed_facts(
-        self, facts: Iterable[MoveProgress | Brake]
-    ) -> tuple[MoveProgress | Brake, ...]:
-        """Returns facts of moves under the ids that these have now.
-
-        Args:
-            facts: Facts of moves that this node has received.
-        """
-        if not self.later_ids:
-            return ()
-        return tuple(
-            dataclasses.replace(fact, move=self.later_ids[fact.move])
-            for fact in facts
-            if fact.move in self.later_ids
-        )
+        return dataclasses.replace(told, request_offset=offset)
 
     def add_move_result(self, result: MoveResult) -> None:
         """Stores a recorded result, unless that of a later request is known."""
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -752,7 +752,7 @@
     def _sync_moves(self) -> None:
         progress = self.facts.all_of(MoveProgress)
         self.move_requests.identify(progress)
-        for fact in self.move_requests.followed_facts(
+        for fact in self.move_requests.identities.followed_facts(
             (*progress, *self.facts.brakes)
         ):
             self.gossip.broadcast(fact)
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -310,11 +310,16 @@
     async def _read_batch(self, wait_s: float) -> bool:
         """Passes on the records that follow; returns whether there were any."""
         self.receiving = True
+        began_at = self.next_offset
         try:
             batch = await self._next_batch(wait_s)
         finally:
             self.receiving = False
         start = self.next_offset
+        # All keys are to be read since, which this answer does not tell.
+        is_overtaken = start < 0 <= began_at
+        if is_overtaken:
+            start = began_at
         batch = self._with_deletions(batch)
         # Skip records that a later record of the same key replaces.
         latest = {record.key: record for record in batch.records}
@@ -324,7 +329,8 @@
         written = batch.next_offset - start
         self.lags = start >= 0 and written > passed
         # Another read may have come further meanwhile.
-        self.next_offset = max(start, batch.next_offset)
+        if not is_overtaken:
+            self.next_offset = max(start, batch.next_offset)
         self.on_answer(start, batch)
         return bool(batch.records)
 
--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -10,11 +10,13 @@
 )
 from twisted.internet.task import Clock, deferLater
 
+from fulmarrudder.model.position import position_of
 from fulmarrudder.platform.errors import (
     ExpiredError,
     StoreRejectedError,
     StoreUnavailableError,
 )
+from fulmarrudder.platform.rewrites import AWAIT_S
 from fulmarrudder.platform.store import (
     CALL_TIMEOUT_S,
     END_TIMEOUT_S,
@@ -369,3 +371,21 @@
     assert (deleted.key, deleted.value) == ("rollout/caja", None)
     scene.serve(record(10, "rollout/caja"), next_offset=11)
     assert scene.passed[-1].value == b"{}"
+
+
+# The answer that arrived as the awaited records were due told nothing of them.
+def test_awaited_records_are_read_though_an_answer_is_arriving(scene):
+    end = position_of(1, 3)
+    scene.serve(record(3, "rollout/caja"), next_offset=4)
+    scene.tail.enter_era()
+    # The read that waited was cancelled.
+    scene.store.waiting.pop(0)
+    latest = RecordBatch(records=(), next_offset=end, is_latest=True)
+    scene.store.waiting.pop(0).callback(latest)
+    assert len(scene.passed) == 1
+    scene.store.on_head()
+    scene.clock.advance(AWAIT_S)
+    scene.serve(next_offset=end)
+    assert scene.store.reads[-1] is None
+    scene.store.waiting.pop(0).callback(latest)
+    assert scene.passed[-1].value is None
