--- a/tests/platform/test_tail.py
+++ b/tests/platform/test_tail.py
@@ -10,11 +10,13 @@
 )
 from twisted.internet.task import Clock, deferLater
 
+from fulmarrudder.model.position import position_of
 from fulmarrudder.platform.errors import (
     ExpiredError,
     StoreRejectedError,
     StoreUnavailableError,
 )
+from fulmarrudder.platform.rewrites import AWAIT_S
 from fulmarrudder.platform.store import (
     CALL_TIMEOUT_S,
     END_TIMEOUT_S,
@@ -379,3 +381,19 @@
     deleted = scene.passed[-1]
     assert (deleted.key, deleted.value) == ("evacuate/lima-2", None)
     assert deleted.offset == 9
+# The answer that arrived as the awaited records were due told nothing of them.
+def test_awaited_records_are_read_though_an_answer_is_arriving(scene):
+    end = position_of(1, 3)
+    scene.serve(record(3, "rollout/caja"), next_offset=4)
+    scene.tail.enter_era()
+    # The read that waited was cancelled.
+    scene.store.waiting.pop(0)
+    latest = RecordBatch(records=(), next_offset=end, is_latest=True)
+    scene.store.waiting.pop(0).callback(latest)
+    assert len(scene.passed) == 1
+    scene.store.on_head()
+    scene.clock.advance(AWAIT_S)
+    scene.serve(next_offset=end)
+    assert scene.store.reads[-1] is None
+    scene.store.waiting.pop(0).callback(latest)
+    assert scene.passed[-1].value is None
