--- a/src/fulmarrudder/call/codec.py
+++ b/src/fulmarrudder/call/codec.py
@@ -113,6 +113,8 @@
             if self.block is None:
                 self.block = bytearray()
             self.block += encode_line(name.lower(), value)
+            if len(self.block) > self.pending_limit:
+                raise ProtocolError("header fields too large", status=431)
             return
         # Trailer fields are dropped, but their size is limited as well.
         self.trailer_bytes += len(name) + len(value) + 4
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -51,7 +51,7 @@
 # Unsent bytes of earlier answers from which on no further request is served.
 MAX_UNSENT_BYTES = 65_536
 # Requests of one connection that are started in a turn of the loop.
-MAX_STARTS = 16
+MAX_STARTS = 8
 # Idle timeout of connections from other nodes. Longer than these reuse them, so
 # that the node that sends the requests is the one that closes: a request cannot
 # cross its own close.
@@ -175,12 +175,13 @@
             connection.charge()
             if connection.calls:
                 continue
-            if connection.closing:
-                connection.check_close_timeout(now)
+            if connection.closing or connection.drain.waiting:
+                connection.check_unsent_timeout(now)
             elif connection.decoder.pending_bytes:
                 connection.check_head_timeout(now)
             elif connection.idle_until < now:
                 connection.close_if_idle()
+        self.enforce_budget()
 
     def is_peer(self, value: bytes) -> bool:
         """Returns whether a head carries the token that nodes share.
@@ -291,7 +292,8 @@
                 self.events.extend(self.decoder.feed(data))
             except ProtocolError as error:
                 self.events.extend(self.decoder.take_events())
-                # The frames of its traceback hold what was decoded.
+                # Tracebacks hold what was decoded.
+                error.__context__ = None
                 self.events.append(error.with_traceback(None))
                 self.unread = b""
         return bool(self.events)
@@ -307,7 +309,7 @@
 
     def charge(self) -> None:
         """Tells the budget what the connection holds."""
-        if self not in self.factory.connections:
+        if self.closing:
             return
         size = CONNECTION_BYTES + len(self.unread) + self.decoder.pending_bytes
         size += self.write_buffer.unsent_bytes
@@ -351,10 +353,11 @@
 
     def _limit_unread(self) -> None:
         is_long = len(self.unread) > MAX_UNREAD_BYTES
-        if is_long and not self.reading_paused:
+        if is_long:
+            # The end of a body may have resumed reading.
             self.reading_paused = True
             self.transport.pauseProducing()
-        elif self.reading_paused and not is_long and not self.closing:
+        elif self.reading_paused and not self.closing:
             self.reading_paused = False
             self.transport.resumeProducing()
 
@@ -376,14 +379,14 @@
                 ProtocolError("request head took too long", status=408)
             )
 
-    def check_close_timeout(self, now: float) -> None:
-        """Resets a closed connection whose peer does not read its answers.
+    def check_unsent_timeout(self, now: float) -> None:
+        """Resets a connection whose peer does not read its answers.
 
         Args:
             now: Clock seconds.
         """
         if now > self.idle_until:
-            self.write_buffer.abort()
+            self.abort()
 
     def refuse_malformed(self, error: ProtocolError) -> None:
         """Refuses a request that violates HTTP/1.1, and closes."""
@@ -423,6 +426,7 @@
         encoded_head = encode_response(answer.head, keep_alive=False)
         self.write_buffer.write(encoded_head + answer.body)
         self.closing = True
+        self._restart_idle_timeout()
         self.drain.stop()
         self.write_buffer.close()
 
--- a/src/fulmarrudder/observe/metrics.py
+++ b/src/fulmarrudder/observe/metrics.py
@@ -40,6 +40,9 @@
     "fulmarrudder_refusals_total": _Family(
         Counter, "Refusals by reason and whether the request ran."
     ),
+    "fulmarrudder_budget_closes_total": _Family(
+        Counter, "Connections closed for lack of memory or descriptors."
+    ),
     "fulmarrudder_call_seconds": _Family(
         Histogram, "Time from a call's head to its answer's head, by role."
     ),
