--- a/src/fulmarrudder/pages.py
+++ b/src/fulmarrudder/pages.py
@@ -6,12 +6,19 @@
 
 from twisted.internet.defer import Deferred, maybeDeferred
 from twisted.logger import Logger
-from twisted.web.http import HTTPFactory, Request, datetimeToString
+from twisted.web.http import (
+    HTTPChannel,
+    HTTPFactory,
+    Request,
+    datetimeToString,
+)
 
 from fulmarrudder.bounded import BoundedBody, Unlogged
 
 LOGGER = Logger()
 FAULT = b"fault\n"
+# Open connections to a page. A probe or a target needs one.
+MAX_CONNECTIONS = 64
 METHOD_NOT_ALLOWED = b"method not allowed\n"
 
 
@@ -82,19 +89,45 @@
         self.finish()
 
 
+class _PageChannel(HTTPChannel):
+    """A connection to a `PageFactory`."""
+
+    def connectionMade(self):  # noqa: N802
+        """Registers the connection."""
+        super().connectionMade()
+        self.factory.admit(self)
+
+    def connectionLost(self, reason):  # noqa: N802
+        """Forgets the connection."""
+        self.factory.channels.pop(self, None)
+        super().connectionLost(reason)
+
+
 class PageFactory(Unlogged, HTTPFactory):
     """Serves one page to all requests.
 
     Attributes:
         page: The page.
+        channels: Open connections, the oldest first.
         body_limit: Most bytes of the body of a request.
     """
 
+    protocol = _PageChannel
+
     def __init__(self, page: Page, body_limit: int):
         super().__init__()
         self.page = page
+        self.channels: dict[_PageChannel, None] = {}
         self.body_limit = body_limit
 
+    def admit(self, channel: _PageChannel) -> None:
+        """Adds a connection, and closes the oldest if there are too many."""
+        self.channels[channel] = None
+        if len(self.channels) > MAX_CONNECTIONS:
+            oldest = next(iter(self.channels))
+            del self.channels[oldest]
+            oldest.transport.abortConnection()
+
     def buildProtocol(self, addr):  # noqa: N802
         """Returns the protocol of a connection."""
         channel = super().buildProtocol(addr)
--- a/tests/processes/machines.py
+++ b/tests/processes/machines.py
@@ -153,6 +153,10 @@
         fields = {"host": HOST, "x-request-id": "ordinary"}
         return send_request("GET", self.call_port, path, headers=fields)[0]
 
+    def is_ready(self) -> bool:
+        """Returns whether the node's readiness probe succeeds."""
+        return send_request("GET", self.ready_port, "/-/readiness")[0] == 200
+
     def peak_bytes(self) -> int:
         """Returns the largest resident set size of the node so far."""
         status = pathlib.Path(f"/proc/{self.process.popen.pid}/status")
--- a/tests/processes/test_crowds.py
+++ b/tests/processes/test_crowds.py
@@ -195,8 +195,15 @@
     check(fleet)
 
 
-def test_connections_that_only_open_leave_descriptors_for_callers(fleet):
-    descriptors = send_crowd(fleet.machines[0], b"", size=300, reads=True)
+@pytest.mark.parametrize("port", ["call_port", "ready_port", "control_port"])
+def test_connections_that_only_open_leave_descriptors_for_callers(fleet, port):
+    vitrina = fleet.machines[0]
+    crowd = Crowd(getattr(vitrina, port), 300, b"", reads=True)
+    crowd.run()
+    descriptors = vitrina.descriptors()
+    wait_for("an answer", lambda: vitrina.get("/quotes/1") == 200, MOST_S)
+    wait_for("readiness", vitrina.is_ready, MOST_S)
+    crowd.leave()
     check(fleet, descriptors)
 
 
--- a/tests/test_pages.py
+++ b/tests/test_pages.py
@@ -1,10 +1,12 @@
 """Pages are served over HTTP, by method, and a fault costs one answer."""
 
 import pytest
+from twisted.internet.error import ConnectionDone
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 from twisted.logger import globalLogPublisher
+from twisted.python.failure import Failure
 
-from fulmarrudder.pages import Page, PageFactory
+from fulmarrudder.pages import MAX_CONNECTIONS, Page, PageFactory
 from fulmarrudder.site import BoundedSite
 
 LIMIT = 1_000
@@ -138,6 +140,21 @@
     assert logged == ["request-too-large"]
 
 
+# Load: clients that only open connections.
+def test_the_oldest_connection_makes_room():
+    factory = PageFactory(EchoPage(), LIMIT)
+    factory.timeOut = None
+    transports = []
+    for _ in range(MAX_CONNECTIONS + 2):
+        channel = factory.buildProtocol(None)
+        transports.append(Transport(lenient=True))
+        channel.makeConnection(transports[-1])
+    closed = [transport.disconnected for transport in transports]
+    assert closed == [True, True] + [False] * MAX_CONNECTIONS
+    channel.connectionLost(Failure(ConnectionDone()))
+    assert len(factory.channels) == MAX_CONNECTIONS - 1
+
+
 # Twisted's factories tell the time each second for an access log, and write a
 # line of it for each request, though nobody reads it.
 @pytest.mark.parametrize(
