--- a/tests/tenants/test_identify.py
+++ b/tests/tenants/test_identify.py
@@ -1,5 +1,7 @@
 """The tenant of a request is told by its key, which ends at the entry node."""
 
+import dataclasses
+
 import pytest
 from twisted.internet.task import Clock
 
@@ -124,3 +126,24 @@
     assert refused.is_error()
     assert "k1" not in str(refused.error)
     assert "k9" not in str(refused.error)
+
+
+# Lines beyond the first ones of a head are kept as one block of bytes.
+@pytest.mark.parametrize(
+    "block", [b"x-key:k1\r\nb:2\r\n", b"b:2\r\nx-key:k1\r\n"]
+)
+def test_key_behind_many_lines_counts_and_is_not_passed_on(block):
+    routed = routed_with()
+    headers = Headers(routed.head.headers.fields, block + b"x-tenant:beta\r\n")
+    routed = dataclasses.replace(routed, head=routed.head.with_headers(headers))
+    found = identifier_of(ACME, BETA).identify(routed)
+    assert found.tenant is ACME
+    assert found.head.headers.block == b"b:2\r\n"
+    assert found.head.headers.get(b"x-tenant") == b"acme"
+
+
+def test_two_keys_are_none_wherever_they_stand():
+    routed = routed_with((b"x-key", b"k1"))
+    headers = Headers(routed.head.headers.fields, b"x-key:k3\r\n")
+    routed = dataclasses.replace(routed, head=routed.head.with_headers(headers))
+    assert identifier_of(ACME, BETA).identify(routed) is UNKNOWN_KEY
