--- a/tests/quotas/test_fleet.py
+++ b/tests/quotas/test_fleet.py
@@ -142,6 +142,7 @@
 @pytest.mark.parametrize("per_s", [SMALL, MIDDLE, LARGE])
 @given(steps=st.lists(STEP, min_size=4, max_size=8))
 @example(steps=[("cut-a", HOT, 1.0), ("none", USUAL, 1.0)])
+@example(steps=[("cut-a", HOT, 1.0), ("none", 0.0, 1.6), ("none", HOT, 2.5)])
 @example(
     steps=[
         ("none", HOT, 1.0),
