--- a/tests/call/test_host.py
+++ b/tests/call/test_host.py
@@ -135,6 +135,7 @@
         connections=9,
         service="caja",
         incarnation=1,
+        cold_until=0.0,
     ):
         self.sequence += 1
         self.local_target.update(
@@ -147,6 +148,7 @@
                 condition=condition,
                 slots=slots,
                 connections=connections,
+                cold_until=cold_until,
             )
         )
         self.host.apply_announcement()
