--- a/tests/platform/test_era.py
+++ b/tests/platform/test_era.py
@@ -98,6 +98,18 @@
     assert result_of(reading).records[0].offset == position_of(1, 7)
 
 
+def test_term_rises_with_the_era_though_the_generation_goes_back(harness):
+    terms = []
+    for era, generation in ((1, 9), (2, 4)):
+        harness.store.era.note(era)
+        join = ensureDeferred(CALLS["join"](harness.store))
+        body = b'{"generation": %d, "parts": []}' % generation
+        answer(harness.pool.made[-1].exchange, era, body=body)
+        terms.append(result_of(join).generation)
+    assert terms == [position_of(1, 9), position_of(2, 4)]
+    assert terms == sorted(terms)
+
+
 @pytest.mark.parametrize("value", [None, b"", b"-1", b"x", b"9" * 40, b"1.0"])
 def test_what_is_no_era_tells_none(value):
     assert parse_era(value) is None
