A request that starts beside unread answers ends the wait for them

A client that had read part of its answers and sent a further request had a second producer registered on its transport, which raises. Heads of thousands of lines count as several starts in a turn, and lines are split only where one of the names occurs.

--- a/src/fulmarrudder/call/lines.py
+++ b/src/fulmarrudder/call/lines.py
@@ -8,6 +8,8 @@
 from collections.abc import Collection
 
 CRLF = b"\r\n"
+# Names up to this number are searched for before the lines are split.
+FEW_NAMES = 32
 
 
 def encode_line(name: bytes, value: bytes) -> bytes:
@@ -46,6 +48,13 @@
         names: Names of the lines to remove.
         prefix: If set, lines whose names begin with it are removed as well.
     """
+    if len(names) <= FEW_NAMES:
+        starts = [_line_start(name) for name in names]
+        if prefix:
+            starts.append(CRLF + prefix)
+        text = CRLF + block
+        if not any(start in text for start in starts):
+            return block
     kept = bytearray()
     for line in block.split(CRLF)[:-1]:
         name = line.partition(b":")[0]
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -52,6 +52,7 @@
 MAX_UNSENT_BYTES = 65_536
 # Requests of one connection that are started in a turn of the loop.
 MAX_STARTS = 8
+BLOCK_BYTES_A_START = 2_048
 # Idle timeout of connections from other nodes. Longer than these reuse them, so
 # that the node that sends the requests is the one that closes: a request cannot
 # cross its own close.
@@ -331,6 +332,7 @@
     def is_unsent(self) -> bool:
         """Returns whether too much of earlier answers is not sent yet."""
         if self.write_buffer.unsent_bytes <= MAX_UNSENT_BYTES:
+            self.drain.stop()
             return False
         if not self.calls:
             self.drain.wait()
@@ -557,7 +559,8 @@
 @_handle_event.register
 def _(event: RequestHead, connection: CallConnection) -> None:
     connection.factory.active += 1
-    connection.starts += 1
+    # Heads of very many lines take longer.
+    connection.starts += 1 + len(event.headers.block) // BLOCK_BYTES_A_START
     call = ServedCall(connection, event, is_next=not connection.calls)
     connection.calls.append(call)
     call.start()
--- a/tests/call/test_budget.py
+++ b/tests/call/test_budget.py
@@ -6,7 +6,7 @@
 
 from fulmarrudder.call import server
 from fulmarrudder.call.budget import Budget, BudgetLimits, limits_of_machine
-from tests.call.test_server import EntryHarness, get, head_of
+from tests.call.test_server import EntryHarness, Transport, get, head_of
 
 MEGABYTE = 1_000_000
 
@@ -66,6 +66,65 @@
     assert head_of(busy)[0] == 200
 
 
+class Unread(Transport):
+    """A transport whose peer reads nothing until `read`."""
+
+    offset = 0
+    dataBuffer = b""  # noqa: N815
+    _tempDataBuffer = ()  # noqa: N815
+    _tempDataLen = 0  # noqa: N815
+
+    def writeSomeData(self, data):  # noqa: N802
+        return 0
+
+    def write(self, data):
+        super().write(data)
+        self.dataBuffer += data
+
+    def read(self, size):
+        self.dataBuffer = self.dataBuffer[size:]
+        if not self.dataBuffer and self.producer is not None:
+            self.producer.resumeProducing()
+
+
+@pytest.fixture
+def unread():
+    """Returns a harness and a client with two answers that it didn't read."""
+    harness = EntryHarness()
+    connection, transport = harness.calls.buildProtocol(None), Unread()
+    connection.makeConnection(transport)
+    for _ in range(2):
+        connection.dataReceived(get())
+        harness.answer(data=b"a" * 40_000)
+    connection.dataReceived(get())
+    assert len(harness.pool.made) == 2
+    return harness, connection, transport
+
+
+# Load: clients that send requests and read no answers.
+def test_no_request_starts_behind_answers_that_are_not_read(unread):
+    harness, connection, transport = unread
+    transport.read(len(transport.dataBuffer))
+    harness.clock.advance(0)
+    assert len(harness.pool.made) == 3
+    assert transport.producer is None
+
+
+def test_a_request_that_comes_once_some_was_read_starts(unread):
+    harness, connection, transport = unread
+    transport.read(30_000)
+    connection.dataReceived(get())
+    assert len(harness.pool.made) == 4
+    assert transport.producer is None
+
+
+def test_a_client_that_reads_nothing_is_closed(unread):
+    harness, connection, transport = unread
+    harness.clock.advance(harness.calls.limits.idle_ms / 1000 + 1)
+    harness.calls.sweep()
+    assert transport.aborted
+
+
 # Load: very many short requests at once, each answered at once.
 def test_requests_of_one_connection_start_over_several_turns():
     harness = EntryHarness()
