Lateness is judged by all of a rank again

Waits that count only what goes first were too short, as later requests with earlier soft deadlines overtake. Change: reverted for lateness; kept for whether a request can be served at all.

--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -55,9 +55,6 @@
 # A queued request of the same rank gives way in a full queue to one that costs
 # less than it by this factor: more of those are served in the same time.
 COSTLIER_FACTOR = 2.0
-# Fraction of requests of a class that are served within the time by which it is
-# judged whether a request will be late.
-JUDGED_FRACTION = 0.6
 # A queued request counts as hopeless when its expected wait exceeds the time for
 # which it may wait by this factor: the estimate is of averages.
 HOPELESS_FACTOR = 1.5
@@ -297,7 +294,7 @@
         is_full = self.queued >= self.capacity * MAX_QUEUE_PER_SLOT
         if is_full and self._less_urgent_than(request) is None:
             return "queue is full"
-        wait_s = self._expected_wait_of(request)
+        wait_s = self.expected_wait(request.rank)
         service_time_s = self._service_time_of(request)
         average_s = self.average_service_time_s
         is_long = wait_s > MAX_SPILL_WAIT_FACTOR * average_s
@@ -307,21 +304,27 @@
             and now + wait_s + service_time_s > request.spill_deadline
         ):
             return "another target may have room"
-        if now + wait_s + service_time_s > request.deadline:
+        least_wait_s = self._least_wait_of(request, wait_s)
+        if now + least_wait_s + service_time_s > request.deadline:
             return "queue is too long for the time left"
         if (
             not request.soft_deadline
             or service_time_s < SHORT_REQUEST_FACTOR * average_s
         ):
             return ""
-        if self._is_likely_late(request, wait_s):
+        if likely_late(now, wait_s, service_time_s, request.soft_deadline):
             return "queue is too long to be prompt"
         return ""
 
-    def _expected_wait_of(self, request: SlotRequest) -> float:
-        """Returns the seconds that a request is expected to wait."""
+    def _least_wait_of(self, request: SlotRequest, wait_s: float) -> float:
+        """Returns the seconds that a request waits if no other overtakes it.
+
+        Args:
+            request: The request.
+            wait_s: Seconds if all others of its rank go first.
+        """
         if not self.uses_work:
-            return self.expected_wait(request.rank)
+            return wait_s
         place = _place_of(request, late=False)
         ahead = [
             e[-1] for e in self.heap if e[-1].is_waiting and e[:3] <= place
@@ -329,21 +332,6 @@
         rate_wait_s = self.rate.wait_s(self.clock.seconds(), len(ahead))
         return max(rate_wait_s, self._slot_wait(ahead))
 
-    def _is_likely_late(self, request: SlotRequest, wait_s: float) -> bool:
-        now = self.clock.seconds()
-        service_time_s = self._service_time_of(request)
-        if not self.uses_work:
-            return likely_late(
-                now, wait_s, service_time_s, request.soft_deadline
-            )
-        if wait_s <= MAX_LATE_WAIT_FACTOR * service_time_s:
-            return False
-        judged_s = self.work.service_s(
-            request.cost_class, now, fraction=JUDGED_FRACTION
-        )
-        done_at = now + COMPLETION_MARGIN * wait_s + judged_s
-        return done_at > request.soft_deadline
-
     def _less_urgent_than(self, request: SlotRequest) -> "_Waiter | None":
         """Returns the queued request that gives way in a full queue, or None.
 
--- a/src/fulmarrudder/placement/work.py
+++ b/src/fulmarrudder/placement/work.py
@@ -62,22 +62,9 @@
             self.speed.answered(expected_s, took_s, now)
         self.costs.add(run.cost_class, took_s / told)
 
-    def service_s(
-        self, cost_class: CostClass, now: float, *, fraction: float = 0.0
-    ) -> float:
-        """Returns the seconds that a request is expected to run.
-
-        Args:
-            cost_class: Its class.
-            now: Clock seconds.
-            fraction: Fraction of the requests that run no longer; 0 for the
-                mean.
-        """
-        cost_s = self.costs.mean_s(cost_class)
-        if fraction:
-            histogram = self.costs.histogram_of(cost_class)
-            cost_s = histogram.quantile_s(fraction) or cost_s
-        return cost_s * self.speed.now(now)
+    def service_s(self, cost_class: CostClass, now: float) -> float:
+        """Returns the seconds that a request is expected to run."""
+        return self.costs.mean_s(cost_class) * self.speed.now(now)
 
     def usual_s(self, cost_class: CostClass) -> float:
         """Returns the seconds that a request runs at the average speed."""
