Refused callers return while an answer would still be prompt

Cause: a request is refused by several nodes, each of which gave it a place in its line, so that callers were told to return after their objective.

--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -230,7 +230,7 @@
         """Returns the seconds after which a refused caller is to return.
 
         Args:
-            latest: Clock seconds after which it has too little time left.
+            latest: Clock seconds after which a return is of little use.
         """
         now = self.clock.seconds()
         rate_wait_s = self.rate.wait_s(now, self.queued)
--- a/src/fulmarrudder/placement/returns.py
+++ b/src/fulmarrudder/placement/returns.py
@@ -28,12 +28,12 @@
             now: Clock seconds.
             wait_s: Seconds until a slot is expected to be free.
             pace_s: Seconds between two slots that become free.
-            latest: Clock seconds after which it has too little time left.
+            latest: Clock seconds after which a return is of little use.
         """
         earliest = now + wait_s
         at = max(earliest, self.last_at + pace_s)
-        if at > now + wait_s + LONGEST_LINE_S:
+        if at > min(earliest + LONGEST_LINE_S, latest):
             # Begins a second round, which spreads callers over the first.
             at = earliest
         self.last_at = at
-        return max(0.0, min(at, latest) - now)
+        return at - now
