--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -141,8 +141,7 @@
         is_granting: Whether free slots are being granted to queued requests.
         work: What the requests that run are expected to take.
         uses_work: Whether waits are estimated from `work` rather than from
-            averages; set once the target tells how slow it is, or by a
-            configuration with tenants.
+            averages; set once the target tells how slow it is.
         full_at: Clock seconds at which all slots were last in use.
         on_vacancy: Called when a slot is released for which nothing waits.
     """
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -414,8 +414,6 @@
             table=table,
         )
         self.identifier.keys = keys
-        if arrangement.tenants is not None:
-            self.host.slots.uses_work = True
         self.calls.limits = arrangement.limits
         now = self.clock.seconds()
         logs.info(
