--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -461,8 +461,6 @@
             table=table,
         )
         self.identifier.keys = keys
-        if arrangement.tenants is not None:
-            self.host.slots.uses_work = True
         self.calls.limits = arrangement.limits
         self.host.cold.set_services(arrangement.services)
         now = self.clock.seconds()
