--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -313,9 +313,7 @@
         if is_full and self._less_urgent_than(request) is None:
             if not self._make_room(request):
                 return "queue is full"
-        wait_s = self._expected_wait_of(request)
-            return "queue is full"
-        wait_s = self.expected_wait(request.rank)
+        wait_s = self.expected_wait(request.rank, request.tenant)
         service_time_s = self._service_time_of(request)
         average_s = self.average_service_time_s
         is_long = wait_s > MAX_SPILL_WAIT_FACTOR * average_s
@@ -354,12 +352,6 @@
         self._refuse(later[-1], "its tenant has more requests here")
         return True
 
-    def _expected_wait_of(self, request: SlotRequest) -> float:
-        """Returns the seconds that a request is expected to wait."""
-        if not self.uses_work:
-            return self.expected_wait(request.rank, request.tenant)
-        turn = self.turns.next_turn(request.tenant)
-        place = _place_of(request, turn, late=False)
     def _least_wait_of(self, request: SlotRequest, wait_s: float) -> float:
         """Returns the seconds that a request waits if no other overtakes it.
 
@@ -369,7 +361,8 @@
         """
         if not self.uses_work:
             return wait_s
-        place = _place_of(request, late=False)
+        turn = self.turns.next_turn(request.tenant)
+        place = _place_of(request, turn, late=False)
         ahead = [
             e[-1] for e in self.heap if e[-1].is_waiting and e[:4] <= place
         ]
