What a cut held back is not counted against the quotas again

At 24.5 s a cut of 30 in 100 nodes ends. The others had left these nodes their part of the rate for 8 s; then the counts of these 8 s arrived and were taken from the bucket once more.

Change: a collector doesn't count the reports of a node in the first 0.3 s after it was silent, and a node without a collector drops its counts while it is cut off.

--- a/src/fulmarrudder/distribution/quota_exchange.py
+++ b/src/fulmarrudder/distribution/quota_exchange.py
@@ -107,7 +107,12 @@
 
     @singledispatchmethod
     def _receive(self, message: QuotaReport, link: Link) -> None:
-        self.collector.add(link.node, message, self.clock.seconds())
+        self.collector.add(
+            link.node,
+            message,
+            self.clock.seconds(),
+            silence_s=self.quotas.view.silence_s,
+        )
         if message.pressing:
             self.hasten()
 
@@ -148,7 +153,11 @@
             self.reports_to = collector
             self.quotas.forget_pending()
         if not collector:
-            # Its counts wait for a collector.
+            if self._is_cut_off():
+                # The others have left its part of the rate to it.
+                self.quotas.take_report(now)
+                self.quotas.forget_pending()
+            # Before it has heard any, its counts wait for a collector.
             return
         report = dataclasses.replace(
             self.quotas.take_report(now), is_last=is_last
@@ -158,6 +167,10 @@
         else:
             self.links[collector].send(report)
 
+    def _is_cut_off(self) -> bool:
+        view = self.quotas.view
+        return bool(self.told_at) and view.data_centre in view.silent
+
     def _tell(self, topology: Topology, now: float) -> None:
         view = self.quotas.view
         use = self.collector.take(
--- a/src/fulmarrudder/quotas/collector.py
+++ b/src/fulmarrudder/quotas/collector.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from fulmarrudder.quotas.counts import add_counts, flat_counts
+from fulmarrudder.quotas.fleet import CATCH_UP_S, SILENCE_S
 from fulmarrudder.quotas.message import QuotaReport, QuotaSum, QuotaUse
 
 # Time after which a node that is not heard is taken to be gone. What is cut off for
@@ -37,6 +38,9 @@
             message.
         included: Latest report of each node since the last message.
         heard_at: Clock seconds of the latest report of each node.
+        counted_from: Clock seconds until which the reports of a node may tell
+            what it admitted while it was silent. The others left its part of
+            the rate to it meanwhile.
         pressing: Whether what it has heard since is pressing.
     """
 
@@ -46,18 +50,38 @@
         self.afar: dict[str, _Sum] = {}
         self.included: dict[str, int] = {}
         self.heard_at: dict[str, float] = {}
+        self.counted_from: dict[str, float] = {}
         self.pressing = False
 
-    def add(self, node: str, report: QuotaReport, now: float) -> None:
-        """Adds the report of a node of this data centre."""
+    def add(
+        self,
+        node: str,
+        report: QuotaReport,
+        now: float,
+        *,
+        silence_s: float = SILENCE_S,
+    ) -> None:
+        """Adds the report of a node of this data centre.
+
+        Args:
+            node: Id of the node.
+            report: Its report.
+            now: Clock seconds.
+            silence_s: Time after which a node that is not heard is missing.
+        """
+        if now - self.heard_at.get(node, now) > silence_s:
+            self.counted_from[node] = now + CATCH_UP_S
         self.heard_at[node] = now
         if report.is_last:
             # It uses no part of a rate that would have to be left to it.
             del self.heard_at[node]
         if not report.counts:
             return
-        add_counts(self.own.counts, report.counts)
         self.included[node] = report.number
+        if now < self.counted_from.get(node, 0.0):
+            return
+        self.counted_from.pop(node, None)
+        add_counts(self.own.counts, report.counts)
         self.pressing |= report.pressing
 
     def add_afar(self, use: QuotaUse) -> None:
@@ -71,6 +95,7 @@
     def discard(self, node: str) -> None:
         """Forgets a node that reports to another collector."""
         self.heard_at.pop(node, None)
+        self.counted_from.pop(node, None)
 
     def take(
         self, now: float, nodes: int, *, silence_s: float, is_alone: bool
--- a/tests/quotas/test_collector.py
+++ b/tests/quotas/test_collector.py
@@ -3,10 +3,9 @@
 import pytest
 
 from fulmarrudder.quotas.collector import FORGET_S, QuotaCollector
+from fulmarrudder.quotas.fleet import CATCH_UP_S, SILENCE_S
 from fulmarrudder.quotas.message import QuotaReport
 
-SILENCE_S = 1.2
-
 
 def missing_after(silence_s, *, is_last):
     """Returns the part that counts as missing after one of ten falls silent."""
@@ -33,3 +32,23 @@
 )
 def test_part_is_left_to_nodes_that_may_be_cut_off(silence_s, is_last, missing):
     assert missing_after(silence_s, is_last=is_last) == missing
+
+
+# A node that is cut off keeps to the part of the rate that is left to it, and its
+# reports arrive together when the cut ends: counted again, they would use up the
+# bucket of the others.
+@pytest.mark.parametrize(
+    ("silence_s", "counted"), [(0.5, 9), (SILENCE_S + 0.1, 2)]
+)
+def test_reports_that_a_cut_held_back_are_not_counted_again(silence_s, counted):
+    collector = QuotaCollector("a")
+    report = QuotaReport(number=1, counts=(17, 1, 0))
+    collector.add("n1", report, 0.0)
+    for number in range(7):
+        late = QuotaReport(number=2 + number, counts=(17, 1, 0))
+        collector.add("n1", late, silence_s + number / 100)
+    last = QuotaReport(number=9, counts=(17, 1, 0))
+    collector.add("n1", last, silence_s + CATCH_UP_S + 0.1)
+    use = collector.take(9.0, 1, silence_s=SILENCE_S, is_alone=False)
+    assert use.sums[0].counts == (17, counted, 0)
+    assert use.included == (("n1", 9),)
