--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -602,7 +602,7 @@
     def _filter_by_slots(
         self, eligible: tuple[Presence, ...], call: Call, now: float
     ) -> tuple[Presence, ...]:
-        accepting = tuple(
+        return tuple(
             presence
             for presence in eligible
             if may_accept(
@@ -611,7 +611,6 @@
                 tells_work=self.balancer.tells_work(presence),
             )
         )
-        return self.balancer.without_guesses_afar(accepting, now)
 
     async def _run_attempt(
         self, call: Call, attempts: RunningAttempts, attempt: Attempt
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -274,8 +274,7 @@
         if request.spill_deadline:
             reason = RefusalReason.BUSY
         service_time_s = self.slots.service_time(request.route)
-        due_at = request.soft_deadline or request.deadline
-        after_s = self.slots.retry_after(due_at - service_time_s)
+        after_s = self.slots.retry_after(request.deadline - service_time_s)
         return not_run(reason, detail, retry_after_s=after_s)
 
     def _takes_requests(self) -> bool:
--- a/src/fulmarrudder/call/load_balancer.py
+++ b/src/fulmarrudder/call/load_balancer.py
@@ -227,27 +227,6 @@
             for p in endpoints
         )
 
-    def without_guesses_afar(
-        self, endpoints: tuple[Presence, ...], now: float
-    ) -> tuple[Presence, ...]:
-        """Leaves out endpoints afar that are not known to have room.
-
-        Args:
-            endpoints: Endpoints for a request that was refused elsewhere.
-            now: Clock seconds.
-
-        Returns:
-            All of them unless waits are known in this data centre.
-        """
-        if not self._knows_waits_nearby(endpoints):
-            return endpoints
-        return tuple(
-            p
-            for p in endpoints
-            if p.data_centre == self.data_centre
-            or self.slot_state(p, now) is SlotState.FREE
-        )
-
     def _ask_local_target(
         self, sampled: list[Presence], now: float, route: str, body_bytes: int
     ) -> None:
