--- a/tests/distribution/test_gossip.py
+++ b/tests/distribution/test_gossip.py
@@ -4,6 +4,7 @@
 
 from fulmarrudder.distribution import Document, Peer
 from fulmarrudder.distribution.document_exchange import DOCUMENT_TIMEOUT_S
+from fulmarrudder.distribution.message import VACANCY_PROTOCOL, Vacancy
 from fulmarrudder.model import Brake, Condition, Evidence, Presence, Tally
 from tests.distribution.fakes import FakeNetwork
 
@@ -222,3 +223,22 @@
     while receiver.facts.presence_of("a-03").sequence < 2:
         net.clock.advance(0.001)
     assert receiver.mesh.outbox.flush_timer is None
+
+
+# Nodes of an older build close a link on which an unknown message arrives.
+def test_vacancy_goes_to_one_node_of_the_data_centre_that_understands_it():
+    net = running_fleet(3)
+    heard = []
+    for name, node in net.nodes.items():
+        node.mesh.on_vacancy = lambda sender, vacancy, name=name: heard.append(
+            (name, sender, vacancy)
+        )
+    teller = net.nodes["a-00"].mesh
+    vacancy = Vacancy(slots=2, slowness=140)
+    teller.links["a-02"].protocol = VACANCY_PROTOCOL - 1
+    assert teller.tell_vacancy("a-01", vacancy)
+    assert not teller.tell_vacancy("a-02", vacancy)
+    assert not teller.tell_vacancy("b-00", vacancy)
+    assert not teller.tell_vacancy("unknown", vacancy)
+    net.run(0.1)
+    assert heard == [("a-01", "a-00", vacancy)]
