--- a/src/fulmarrudder/call/cold.py
+++ b/src/fulmarrudder/call/cold.py
@@ -17,8 +17,8 @@
     """Limits the requests a second while the local target is cold.
 
     Attributes:
-        services: Services that name a limit, by name: requests a second that
-            a cold target of theirs takes.
+        per_s_by_service: Requests a second that a cold target takes, by name of
+            its service; without those that name none.
         excess: Requests that a cold target may get for each that its service
             names.
         per_s: The limit in force; infinite while the target is warm.
@@ -38,7 +38,7 @@
         self.local_target = local_target
         self.is_evacuated = is_evacuated
         self.limits = limits
-        self.services: dict[str, float] = {}
+        self.per_s_by_service: dict[str, float] = {}
         self.excess = 1.0
         self.per_s = math.inf
 
@@ -53,11 +53,17 @@
         Args:
             services: All its services.
         """
-        self.services = {s.name: s.cold_per_s for s in services if s.cold_per_s}
+        self.per_s_by_service = {
+            s.name: s.cold_per_s for s in services if s.cold_per_s
+        }
         self.refresh()
 
     def set_excess(self, excess: float) -> None:
-        """Replaces the requests a cold target may get for each that is named."""
+        """Replaces the excess over what services name.
+
+        Args:
+            excess: Requests that a cold target may get for each that is named.
+        """
         self.excess = excess
         self.refresh()
 
@@ -69,11 +75,11 @@
 
     def _limit_now(self) -> float:
         latest = self.local_target.latest
-        if latest is None or not self.services:
+        if latest is None or not self.per_s_by_service:
             return math.inf
         if not (self.local_target.is_cold or self.is_evacuated()):
             return math.inf
-        return self.excess * self.services.get(latest.service, math.inf)
+        return self.excess * self.per_s_by_service.get(latest.service, math.inf)
 
     def _apply(self, per_s: float) -> None:
         self.per_s = per_s
--- a/tests/node/test_evacuation.py
+++ b/tests/node/test_evacuation.py
@@ -96,7 +96,7 @@
 # Others send what the target offers.
 def test_presence_offers_few_slots_while_the_target_may_be_cold():
     node = new_node()
-    node.host.cold.services = {"caja": 12.0}
+    node.host.cold.per_s_by_service = {"caja": 12.0}
     send_heartbeat(node, 1)
     offered = node.presence_broadcaster.last_sent.slots
     node.clock.advance(WARM_TIMEOUT_S)
