--- a/src/fulmarrudder/call/codec.py
+++ b/src/fulmarrudder/call/codec.py
@@ -165,6 +165,10 @@
         self.pending_bytes = 0
         self.parts.append(data)
 
+    def release(self) -> None:
+        """Ends the cycle of references with the parser; decodes no more."""
+        self.parser = None
+
     def end_part(self) -> None:
         """Appends the event of the parts of a body received so far."""
         self.events.append(BodyPart(b"".join(self.parts)))
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -242,6 +242,7 @@
         self.factory.connections.discard(self)
         self.factory.budget.release(self)
         self.closing = True
+        self.decoder.release()
         self._abort_calls()
         self.factory.notify_if_drained()
 
--- a/src/fulmarrudder/call/upstream.py
+++ b/src/fulmarrudder/call/upstream.py
@@ -131,7 +131,7 @@
             events = self.decoder.feed(data)
         except ProtocolError as caught:
             # The answer may be complete, and the error in what follows it.
-            events, error = self.decoder.take_events(), caught
+            events, error = self.decoder.take_events(), str(caught)
         for event in events:
             if self.exchange is None:
                 break
@@ -141,7 +141,7 @@
         if self.exchange is not None:
             self.exchange.deliver_head()
         if error is not None:
-            self.drop(str(error))
+            self.drop(error)
 
     def drop(self, reason: str) -> None:
         """Closes the connection at once; it is not used again.
@@ -163,6 +163,7 @@
     def connectionLost(self, reason):  # noqa: N802
         """Ends the exchange in progress."""
         self.lost = True
+        self.decoder.release()
         self.pool.discard(self)
         exchange, self.exchange = self.exchange, None
         if exchange is None:
--- a/tests/call/test_codec_bytes.py
+++ b/tests/call/test_codec_bytes.py
@@ -1,5 +1,7 @@
 """Any bytes decode alike however they are cut, or fail with a status."""
 
+import gc
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -12,6 +14,7 @@
 )
 from fulmarrudder.call.errors import ProtocolError
 from fulmarrudder.call.message import BodyPart, RequestHead, ResponseHead
+from tests.call.test_server import EntryHarness
 
 PIECES = (
     b"GET / HTTP/1.1\r\nHost: a\r\n",
@@ -93,6 +96,27 @@
     assert len(decoder.block) <= HEADER_BYTES_LIMIT + HOP_BYTES_LIMIT
 
 
+# Guards against refused heads that stay until the garbage collector runs.
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 5_000,
+        b"GET / HTTP/1.1\r\n" + b"a:\r\n" * 500 + b"\0\r\n",
+    ],
+)
+def test_a_refused_head_is_freed_at_once(data):
+    gc.collect()
+    before = sum(isinstance(o, ProtocolError) for o in gc.get_objects())
+    gc.disable()
+    try:
+        transport = EntryHarness().send(data)
+        after = sum(isinstance(o, ProtocolError) for o in gc.get_objects())
+    finally:
+        gc.enable()
+    assert transport.value().startswith(b"HTTP/1.1 4")
+    assert after == before
+
+
 def test_heads_of_both_kinds_are_found():
     found = [
         type(event)
