Quotas: buckets hold 0.36 of what a window allows

Cause: 1,500 random examples of the property found one that broke the bound with 0.4, by 29 of 2,660 requests: within a second a gateway pauses, a tenant of 400 requests a second gets hot and a data centre is cut off.

Tried and dropped: a slower pace while a data centre is doubtful (no effect on the case), a pace 0.6 s deep (restarts then broke the bound by 25).

--- a/src/fulmarrudder/quotas/limits.py
+++ b/src/fulmarrudder/quotas/limits.py
@@ -6,7 +6,7 @@
 
 # Least part of what a window allows beyond its rate that the bucket holds. The
 # rest is left for requests that other nodes have admitted without being heard.
-MIN_HELD_PART = 0.4
+MIN_HELD_PART = 0.36
 # Seconds of the rate that nodes may admit before they hear of each other.
 UNHEARD_S = 1.5
 
--- a/tests/quotas/test_fleet.py
+++ b/tests/quotas/test_fleet.py
@@ -143,6 +143,14 @@
 @given(steps=st.lists(STEP, min_size=4, max_size=8))
 @example(steps=[("cut-a", HOT, 1.0), ("none", USUAL, 1.0)])
 @example(steps=[("cut-a", HOT, 1.0), ("none", 0.0, 1.6), ("none", HOT, 2.5)])
+@example(
+    steps=[
+        ("pause-gateway", 0.0, 0.3),
+        ("none", HOT, 0.3),
+        ("cut-a", HOT, 0.3),
+        ("none", HOT, 1.0),
+    ]
+)
 @example(
     steps=[
         ("none", HOT, 1.0),
