--- a/src/fulmarrudder/call/advice.py
+++ b/src/fulmarrudder/call/advice.py
@@ -7,6 +7,7 @@
 from fulmarrudder.call.header_names import HeaderNames
 from fulmarrudder.call.host_report import HostReport
 from fulmarrudder.call.message import ResponseHead
+from fulmarrudder.call.slots import Slots
 from fulmarrudder.call.target_limits import LimitSource, TargetLimits
 from fulmarrudder.membership import Announcement, LocalTarget
 from fulmarrudder.observe import logs
@@ -106,12 +107,14 @@
         header_names: HeaderNames,
         local_target: LocalTarget,
         limits: TargetLimits,
+        slots: Slots,
         report: HostReport,
         on_leaving: Callable[[], object],
     ):
         self.header_names = header_names
         self.local_target = local_target
         self.limits = limits
+        self.slots = slots
         self.report = report
         self.on_leaving = on_leaving
         self.latest = NO_ADVICE
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -208,6 +208,7 @@
             header_names=header_names,
             local_target=local_target,
             limits=limits,
+            slots=self.slots,
             report=self.report,
             on_leaving=on_target_leaving or local_target.leave,
         )
