--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -64,7 +64,9 @@
         self.write_buffer = connection.write_buffer
         self.head = head
         empty = head.framing is Framing.NONE
-        self.body = RequestBody(self.transport, empty=empty)
+        self.body = RequestBody(
+            self.transport, empty=empty, watch=self.factory.leaving_watch
+        )
         self.pending_answer: Deferred | None = None
         self.answer: Answer | None = None
         self.framing = Framing.NONE
@@ -125,7 +127,9 @@
         steps = (
             sanitize_request,
             lambda head: with_traceparent(head, traceparent),
-            lambda head: parse_host_request(head, peer_value, now),
+            lambda head: parse_host_request(
+                head, peer_value, now, self.factory.host.header_names
+            ),
         )
         request = run_steps(self.head, steps, Refusal)
         if isinstance(request, Refusal):
--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -26,6 +26,7 @@
 from fulmarrudder.call.errors import ProtocolError
 from fulmarrudder.call.hop import parse_token
 from fulmarrudder.call.host import HostPipeline
+from fulmarrudder.call.leaving import LeavingWatch
 from fulmarrudder.call.message import (
     BodyEnd,
     BodyPart,
@@ -75,6 +76,7 @@
         active: Number of calls in progress.
         drain_waiters: Deferreds that fire when every connection is closed.
         budget: What the connections may hold.
+        leaving_watch: Notices callers that leave while their bodies wait.
     """
 
     noisy = False
@@ -102,6 +104,7 @@
         self.drain_waiters: list[Deferred] = []
         self.budget = Budget()
         self.events = entry.report.events
+        self.leaving_watch = LeavingWatch(clock)
 
     def buildProtocol(self, addr):  # noqa: N802
         """Builds the protocol of one connection."""
