--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -77,8 +77,6 @@
         drain_waiters: Deferreds that fire when every connection is closed.
         leaving_watch: Notices callers that leave while their bodies wait.
         budget: What the connections may hold.
-        budget: What the connections may hold.
-        leaving_watch: Notices callers that leave while their bodies wait.
     """
 
     noisy = False
