Missing nodes are added up over collectors; sums from afar are passed on by any node

Each of a data centre's two collectors tells what it misses itself; the last one counted, so that the part rose and fell with each message, and each rise left tokens to the missing ones again. And a node that another data centre took for a gateway kept what it was told, as it did not take itself for one.

Change: what collectors miss is added up, and fewer count only after 1.5 s; a node passes on what it is told from afar whether or not it is a gateway.

--- a/src/fulmarrudder/distribution/quota_exchange.py
+++ b/src/fulmarrudder/distribution/quota_exchange.py
@@ -127,7 +127,7 @@
         self.told_at[link.node] = now
         for node, _ in message.included:
             self.collector.discard(node)
-        self.quotas.hear(message, now)
+        self.quotas.hear(message, now, link.node)
 
     def _run(self) -> None:
         self.timer = None
@@ -146,6 +146,8 @@
         self._report(topology, now, is_last=is_last)
         if self.node in topology.local_gateways:
             self._tell(topology, now)
+        else:
+            self._relay(now)
 
     def _report(self, topology: Topology, now: float, *, is_last: bool) -> None:
         collector = collector_of(self.node, topology, self._heard(now))
@@ -179,14 +181,27 @@
             silence_s=view.silence_s,
             is_alone=not self._hears_other_collector(topology, now),
         )
-        local = encode(use)
-        for link in self._able_links():
-            if link.data_centre == view.data_centre:
-                link.send_encoded(local)
+        self._tell_locally(use, now)
         afar = encode(QuotaUse(sums=use.sums[:1], pressing=use.pressing))
         for link in self._links_afar(topology):
             link.send_encoded(afar)
-        self.quotas.hear(use, now)
+
+    def _relay(self, now: float) -> None:
+        """Passes on what was told from afar.
+
+        Another data centre may take this node for a gateway that it is not, or
+        no longer, as nodes come and go.
+        """
+        sums = self.collector.take_afar()
+        if sums:
+            self._tell_locally(QuotaUse(sums=sums), now)
+
+    def _tell_locally(self, use: QuotaUse, now: float) -> None:
+        data = encode(use)
+        for link in self._able_links():
+            if link.data_centre == self.quotas.view.data_centre:
+                link.send_encoded(data)
+        self.quotas.hear(use, now, self.node)
 
     def _hears_other_collector(self, topology: Topology, now: float) -> bool:
         silence_s = self.quotas.view.silence_s
--- a/src/fulmarrudder/quotas/admission.py
+++ b/src/fulmarrudder/quotas/admission.py
@@ -173,13 +173,19 @@
         """Forgets the reports to a collector that is no longer used."""
         self.pending.clear()
 
-    def hear(self, use: QuotaUse, now: float) -> None:
-        """Applies what a collector of this data centre tells."""
+    def hear(self, use: QuotaUse, now: float, teller: str = "") -> None:
+        """Applies what a node of this data centre tells.
+
+        Args:
+            use: What it tells.
+            now: Clock seconds.
+            teller: Id of the node.
+        """
         own = self._included(use)
         for told in use.sums:
             is_late = now < self.view.counted_from.get(told.data_centre, 0.0)
             was_silent = told.data_centre in self.view.silent
-            self.view.hear(told.data_centre, told.missing, now)
+            self.view.hear(told.data_centre, told.missing, now, teller)
             is_local = told.data_centre == self.view.data_centre
             self._apply(
                 told,
--- a/src/fulmarrudder/quotas/collector.py
+++ b/src/fulmarrudder/quotas/collector.py
@@ -92,6 +92,11 @@
             total.missing = told.missing
         self.pressing |= use.pressing
 
+    def take_afar(self) -> tuple[QuotaSum, ...]:
+        """Returns what was told of other data centres, and begins anew."""
+        afar, self.afar = self.afar, {}
+        return tuple(total.take(name) for name, total in afar.items())
+
     def discard(self, node: str) -> None:
         """Forgets a node that reports to another collector."""
         self.heard_at.pop(node, None)
@@ -114,14 +119,10 @@
             missing = max(0, nodes - heard)
         self.own.missing = round(min(1.0, missing / max(1, nodes)), 3)
         use = QuotaUse(
-            sums=(
-                self.own.take(self.data_centre),
-                *(total.take(name) for name, total in self.afar.items()),
-            ),
+            sums=(self.own.take(self.data_centre), *self.take_afar()),
             included=tuple(self.included.items()),
             pressing=self.pressing,
         )
-        self.afar = {}
         self.included = {}
         self.pressing = False
         return use
--- a/src/fulmarrudder/quotas/fleet.py
+++ b/src/fulmarrudder/quotas/fleet.py
@@ -8,6 +8,9 @@
 SILENCE_S = 1.2
 # A node whose clock jumps by nearly that time between two beats was paused.
 PAUSE_MARGIN_S = 0.2
+# Time for which fewer nodes must be missing before fewer count as missing: each
+# time that more do, tokens are left to them.
+HOLD_S = 1.5
 # Time for what has arrived during a pause to be read.
 CATCH_UP_S = 0.3
 
@@ -25,6 +28,9 @@
         caught_up_at: The latest of these.
         missing: Part of each data centre's nodes that its collectors do not
             hear.
+        told_missing: What each collector told last of the nodes that it does
+            not hear, by data centre, and when.
+        fewer_from: Clock seconds since which fewer are told than `missing`.
         silent: Data centres that are silent.
         epoch: Rises when `silent` or `missing` changes.
         changed_at: Clock seconds at which it last rose.
@@ -41,6 +47,8 @@
         self.counted_from: dict[str, float] = {}
         self.caught_up_at = now
         self.missing: dict[str, float] = {}
+        self.told_missing: dict[str, dict[str, tuple[float, float]]] = {}
+        self.fewer_from: dict[str, float] = {}
         self.silent: frozenset[str] = frozenset((data_centre,))
         self.epoch = 0
         self.changed_at = now
@@ -61,25 +69,46 @@
         self.total_nodes = max(1, sum(nodes.values()))
         self._find_silent(now)
 
-    def hear(self, data_centre: str, missing: float, now: float) -> None:
+    def hear(
+        self, data_centre: str, missing: float, now: float, teller: str = ""
+    ) -> None:
         """Records that a data centre was heard.
 
         Args:
             data_centre: The data centre.
-            missing: Part of its nodes that are not heard there.
+            missing: Part of its nodes that a collector there does not hear.
             now: Clock seconds.
+            teller: Node that told of it.
         """
         self.heard_at[data_centre] = now
         if data_centre in self.silent:
             self._await_counts(data_centre, now)
             self._find_silent(now)
-        if missing == self.missing.get(data_centre, 0.0):
+        told = self.told_missing.setdefault(data_centre, {})
+        told[teller] = (missing, now)
+        total = self._total_missing(told, now)
+        before = self.missing.get(data_centre, 0.0)
+        if total < before:
+            fewer_from = self.fewer_from.setdefault(data_centre, now)
+            if now - fewer_from < HOLD_S:
+                return
+        self.fewer_from.pop(data_centre, None)
+        if total == before:
             return
-        self.missing[data_centre] = missing
-        if not missing:
+        self.missing[data_centre] = total
+        if not total:
             del self.missing[data_centre]
         self._change(now)
 
+    def _total_missing(
+        self, told: dict[str, tuple[float, float]], now: float
+    ) -> float:
+        """Adds up what the collectors of a data centre do not hear."""
+        for teller, (_, told_at) in tuple(told.items()):
+            if now - told_at > self.silence_s:
+                del told[teller]
+        return min(1.0, round(sum(part for part, _ in told.values()), 3))
+
     def beat(self, now: float) -> None:
         """Finds the data centres that have become silent, and pauses."""
         if now - self.beat_at > self.silence_s - PAUSE_MARGIN_S:
--- a/tests/quotas/test_collector.py
+++ b/tests/quotas/test_collector.py
@@ -3,7 +3,7 @@
 import pytest
 
 from fulmarrudder.quotas.collector import FORGET_S, QuotaCollector
-from fulmarrudder.quotas.fleet import CATCH_UP_S, SILENCE_S
+from fulmarrudder.quotas.fleet import CATCH_UP_S, SILENCE_S, FleetView
 from fulmarrudder.quotas.message import QuotaReport
 
 
@@ -52,3 +52,32 @@
     use = collector.take(9.0, 1, silence_s=SILENCE_S, is_alone=False)
     assert use.sums[0].counts == (17, counted, 0)
     assert use.included == (("n1", 9),)
+
+
+def view_after(*told):
+    """Returns a view after some tellers told, at times, what they miss."""
+    view = FleetView("a", 0.0)
+    for now, teller, missing in told:
+        view.hear("a", missing, now, teller)
+    return view
+
+
+# Each of two collectors misses the nodes that report to it. That more are missing
+# leaves tokens to them, which must not happen with each message.
+@pytest.mark.parametrize(
+    ("told", "missing"),
+    [
+        ([(0.0, "x", 0.1), (0.1, "y", 0.0)], 0.1),
+        ([(0.0, "x", 0.1), (0.1, "y", 0.2), (0.2, "x", 0.1)], 0.3),
+        ([(0.0, "x", 0.1), (0.4, "x", 0.0)], 0.1),
+        ([(0.0, "x", 0.1), (0.4, "x", 0.0), (2.0, "x", 0.0)], 0.0),
+        ([(0.0, "x", 0.1), (0.4, "x", 0.0), (1.0, "x", 0.1)], 0.1),
+    ],
+)
+def test_missing_nodes_are_added_up_and_few_only_after_a_while(told, missing):
+    assert view_after(*told).missing.get("a", 0.0) == missing
+
+
+def test_changes_of_collectors_leave_tokens_once():
+    told = [(n / 10, "xy"[n % 2], 0.1 * (n % 2)) for n in range(20)]
+    assert view_after(*told).epoch == view_after(*told[:2]).epoch
