Who gives way in a full queue is decided once, and only if it helps

A full queue of more requests than its slots allow, after slots were taken away, made room by one and then asked for a second that gives way: there was none, and the request failed with an AttributeError. Room was also made for a request that was then refused for another reason. Both tests failed before.

--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -280,14 +280,18 @@
                 return fail(SlotError("too little time is left"))
             if self.rate.take(self.clock.seconds()):
                 return succeed(self._take(request))
-        refusal = self._rejection_detail(request)
+        giving_way = self._giving_way_to(request) if self._is_full else None
+        refusal = self._rejection_detail(request, giving_way)
         if refusal:
             return fail(SlotError(refusal))
-        if self.queued >= self.capacity * MAX_QUEUE_PER_SLOT:
-            giving_way = self._less_urgent_than(request)
-            self._refuse(giving_way, "a more urgent request came")
+        if giving_way is not None:
+            self._refuse(*giving_way)
         return self._queue(request)
 
+    @property
+    def _is_full(self) -> bool:
+        return self.queued >= self.capacity * MAX_QUEUE_PER_SLOT
+
     def _take(self, request: SlotRequest) -> Run:
         self.taken += 1
         now = self.clock.seconds()
@@ -305,14 +309,16 @@
     def _service_time_of(self, request: SlotRequest) -> float:
         return self.service_time(request.route, request.body_bytes)
 
-    def _rejection_detail(self, request: SlotRequest) -> str:
+    def _rejection_detail(
+        self,
+        request: SlotRequest,
+        giving_way: "tuple[_Waiter, str] | None",
+    ) -> str:
         now = self.clock.seconds()
         if request.deadline <= now:
             return "no time left"
-        is_full = self.queued >= self.capacity * MAX_QUEUE_PER_SLOT
-        if is_full and self._less_urgent_than(request) is None:
-            if not self._make_room(request):
-                return "queue is full"
+        if self._is_full and giving_way is None:
+            return "queue is full"
         wait_s = self.expected_wait(request.rank, request.tenant)
         service_time_s = self._service_time_of(request)
         average_s = self.average_service_time_s
@@ -335,11 +341,22 @@
             return "queue is too long to be prompt"
         return ""
 
-    def _make_room(self, request: SlotRequest) -> bool:
-        """Refuses a waiting request of a tenant that has more of them.
-
-        Returns:
-            Whether there was one of the same rank, two turns later at least.
+    def _giving_way_to(
+        self, request: SlotRequest
+    ) -> "tuple[_Waiter, str] | None":
+        """Returns who gives way to a request in a full queue, and why."""
+        waiter = self._less_urgent_than(request)
+        if waiter is not None:
+            return waiter, "a more urgent request came"
+        waiter = self._later_than(request)
+        if waiter is not None:
+            return waiter, "its tenant has more requests here"
+        return None
+
+    def _later_than(self, request: SlotRequest) -> "_Waiter | None":
+        """Returns a waiting request of a tenant that has more of them, or None.
+
+        It is of the same rank, and two turns later at least.
         """
         turn = self.turns.next_turn(request.tenant)
         later = max(
@@ -348,9 +365,8 @@
             default=None,
         )
         if later is None or later[2] <= turn + 1:
-            return False
-        self._refuse(later[-1], "its tenant has more requests here")
-        return True
+            return None
+        return later[-1]
 
     def _least_wait_of(self, request: SlotRequest, wait_s: float) -> float:
         """Returns the seconds that a request waits if no other overtakes it.
--- a/tests/call/test_fairness.py
+++ b/tests/call/test_fairness.py
@@ -76,6 +76,24 @@
     assert slots.queued == MAX_QUEUE_PER_SLOT
 
 
+def test_nobody_gives_way_to_a_request_that_is_refused_all_the_same():
+    slots = busy_slots()
+    hot = [ask(slots, "a") for _ in range(MAX_QUEUE_PER_SLOT)]
+    with pytest.raises(SlotError):
+        result_of(ask(slots, "b", spill_deadline=0.001))
+    assert not any(granted.called for granted in hot)
+
+
+def test_one_request_gives_way_where_slots_were_taken_away():
+    slots = busy_slots(capacity=2)
+    hot = [ask(slots, "a") for _ in range(2 * MAX_QUEUE_PER_SLOT)]
+    slots.resize(1)
+    other = ask(slots, "b")
+    with pytest.raises(SlotError):
+        result_of(hot[-1])
+    assert not other.called
+
+
 def test_requests_that_leave_do_not_count_against_their_tenant():
     slots = busy_slots()
     left = [ask(slots, "a") for _ in range(3)]
