A node that starts in a cut leaves the others their part of a quota

A bucket that was set up before the other nodes were known kept the parts of that moment until the fleet was whole: its own data centre had the whole rate, on each side of the cut. Until demand has been known to all, parts go by the nodes that are known. The test failed before where the limits come first.

--- a/src/fulmarrudder/quotas/bucket.py
+++ b/src/fulmarrudder/quotas/bucket.py
@@ -34,11 +34,13 @@
 
     Attributes:
         at: The moment in clock seconds.
+        nodes: Known nodes.
         per_s: Requests a second.
         by_data_centre: Parts of the data centres, which add up to 1.
     """
 
     at: float
+    nodes: int
     per_s: float
     by_data_centre: Mapping[str, float]
 
@@ -114,7 +116,7 @@
         self.epoch = view.epoch
         self.heard_share = 1.0
         self.own_share = 0.0
-        self.known = self.latest = self._shares(now)
+        self.known = self.latest = self._shares(now, by_demand=False)
         self._share(now)
 
     @property
@@ -254,6 +256,12 @@
             if now - self.latest.at > SETTLED_S:
                 self.known, self.latest = self.latest, self._shares(now)
         else:
+            if (
+                self.known is self.latest
+                and self.known.nodes < view.total_nodes
+            ):
+                # Nodes are found one by one after a start.
+                self.known = self.latest = self._shares(now, by_demand=False)
             self.heard_share = self._heard_share()
         if view.data_centre in view.silent:
             own = 1.0
@@ -269,16 +277,19 @@
                 heard += share / max(1, view.nodes.get(data_centre, 1))
         return max(MIN_SHARE, heard)
 
-    def _shares(self, now: float) -> _Shares:
+    def _shares(self, now: float, *, by_demand: bool = True) -> _Shares:
         even = EVEN_PART * self.limit.per_s / self.view.total_nodes
         demands = {}
         for data_centre, nodes in self.view.nodes.items():
             demand = self.by_data_centre.get(data_centre)
-            per_s = 0.0 if demand is None else demand.per_s(now)
+            per_s = 0.0
+            if by_demand and demand is not None:
+                per_s = demand.per_s(now)
             demands[data_centre] = per_s + even * nodes
         total = sum(demands.values())
         return _Shares(
             at=now,
+            nodes=self.view.total_nodes,
             per_s=total,
             by_data_centre={
                 name: per_s / total for name, per_s in demands.items()
--- a/tests/quotas/test_admission.py
+++ b/tests/quotas/test_admission.py
@@ -60,3 +60,18 @@
     quotas.set_tenants(None, 1.0)
     assert not quotas.has_limits
     assert quotas.admit(tenant, 1.0) is None
+
+
+@pytest.mark.parametrize("nodes_first", [True, False])
+def test_node_that_starts_in_a_cut_leaves_the_others_their_part(nodes_first):
+    tenant = tenant_of(50.0)
+    quotas = FleetQuotas("a1", "a", 0.0, BOUNDS)
+    learned = [
+        lambda: quotas.view.set_nodes({"a": 3, "b": 3}, 0.1),
+        lambda: quotas.set_tenants((tenant,), 0.1),
+    ]
+    for learn in learned if nodes_first else reversed(learned):
+        learn()
+    quotas.view.hear("a", 0.0, 0.2)
+    quotas.admit(tenant, 0.3)
+    assert quotas.buckets["acme"].heard_share == pytest.approx(0.5)
