A figure of slowness that is too long is passed over

A target's answer with some hundred digits as its fourth figure of load ended the request with an OverflowError or a ValueError. Both cases failed before.

--- a/src/fulmarrudder/call/advice.py
+++ b/src/fulmarrudder/call/advice.py
@@ -15,6 +15,8 @@
 YES = b"1"
 # Part of the load that tells how long work takes; 100 is as usual.
 SLOWNESS_PART = 3
+# Longer figures are wrong, and the longest cannot be converted.
+MAX_SLOWNESS_DIGITS = 9
 # Requests let in for each that the target names: what is over one and a half
 # times the limit within 4 s counts as too much, and bursts and resent requests
 # come on top.
@@ -75,12 +77,12 @@
     if value is None:
         return None
     parts = value.split(b",")
-    if (
-        len(parts) <= SLOWNESS_PART
-        or not parts[SLOWNESS_PART].strip().isdigit()
-    ):
+    if len(parts) <= SLOWNESS_PART:
+        return None
+    figure = parts[SLOWNESS_PART].strip()
+    if not figure.isdigit() or len(figure) > MAX_SLOWNESS_DIGITS:
         return None
-    return int(parts[SLOWNESS_PART]) / 100
+    return int(figure) / 100
 
 
 def _parse_rate(value: bytes | None) -> float:
--- a/tests/call/test_placement.py
+++ b/tests/call/test_placement.py
@@ -131,6 +131,8 @@
         (b"3,0,8,140", 1.4),
         (b"3, 0, 8, 90", 0.9),
         (b"3,0,8,x", None),
+        (b"3,0,8," + b"9" * 400, None),
+        (b"3,0,8," + b"9" * 5000, None),
         (None, None),
     ],
 )
