A target that was started again begins with a closed circuit

A crash loses many connections at once and opens the circuit. The next incarnation was refused as unreachable until its first answer, and entry nodes took it out of their choice for a second and more. The test failed before.

--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -229,6 +229,8 @@
             self.slots.resize(min(latest.slots, latest.connections))
             self.advice.announced(latest)
             self.cold.refresh()
+            if latest.incarnation != self.circuit.incarnation:
+                self.circuit = Circuit(latest.incarnation)
 
     @property
     def is_evacuated(self) -> bool:
--- a/src/fulmarrudder/placement/circuit.py
+++ b/src/fulmarrudder/placement/circuit.py
@@ -13,13 +13,15 @@
     """Refuses requests while none gets an answer.
 
     Attributes:
+        incarnation: Incarnation of the target.
         losses: Connections lost in a row, without an answer in between.
         probe_at: Clock seconds from which one request may try the target.
     """
 
-    __slots__ = ("losses", "probe_at")
+    __slots__ = ("incarnation", "losses", "probe_at")
 
-    def __init__(self):
+    def __init__(self, incarnation: int = 0):
+        self.incarnation = incarnation
         self.losses = 0
         self.probe_at = 0.0
 
--- a/tests/call/test_placement.py
+++ b/tests/call/test_placement.py
@@ -338,6 +338,17 @@
     assert len(target.exchanges) == LOSSES_TO_OPEN + 2
 
 
+def test_target_that_was_started_again_is_tried_at_once():
+    target = ClosingTarget()
+    for _ in range(LOSSES_TO_OPEN):
+        target.lose_one()
+    target.announce()
+    assert refusal_in(target.send_request()[1])
+    target.announce(incarnation=2)
+    target.send_request()
+    assert len(target.exchanges) == LOSSES_TO_OPEN + 1
+
+
 def answered():
     return ResponseHead(
         status=200,
