--- a/src/fulmarrudder/call/start.py
+++ b/src/fulmarrudder/call/start.py
@@ -24,13 +24,13 @@
     Attributes:
         until: Clock seconds from which no request is held; infinite if they
             are held at any time.
-        waiting: What the requests that are held wait for.
+        waiting: What the requests that are held wait for, in their order.
     """
 
     def __init__(self, clock: Clock, until: float = -math.inf):
         self.clock = clock
         self.until = until
-        self.waiting: list[Deferred] = []
+        self.waiting: dict[Deferred, None] = {}
 
     async def hold(self, is_ready: Callable[[], bool]) -> None:
         """Waits until the node is ready, or has to refuse the request.
@@ -42,15 +42,17 @@
         deadline = min(self.until, now + HOLD_LIMIT_S)
         while now < deadline and not is_ready():
             news = Deferred()
-            self.waiting.append(news)
+            self.waiting[news] = None
             try:
                 await news.addTimeout(deadline - now, self.clock)
             except TimeoutError:
                 return
+            finally:
+                self.waiting.pop(news, None)
             now = self.clock.seconds()
 
     def notify(self) -> None:
         """Handles that the node has learned something."""
-        waiting, self.waiting = self.waiting, []
+        waiting, self.waiting = self.waiting, {}
         for news in waiting:
             news.callback(None)
--- a/tests/call/test_start.py
+++ b/tests/call/test_start.py
@@ -1,9 +1,13 @@
 """Requests that come while a node starts wait for what the node is about to know."""
 
+import math
+
 import pytest
+from twisted.internet.defer import CancelledError, ensureDeferred
+from twisted.internet.task import Clock
 
 from fulmarrudder.call import ActiveConfig
-from fulmarrudder.call.start import HOLD_LIMIT_S, START_S
+from fulmarrudder.call.start import HOLD_LIMIT_S, START_S, StartGate
 from tests.call.test_walks import REQUEST_ID, Walk
 
 
@@ -80,3 +84,14 @@
     scene.network.run(0.01)
     scene.learn()
     assert not scene.walk.target.received
+
+
+def test_requests_that_were_held_in_vain_leave_nothing_behind():
+    clock = Clock()
+    gate = StartGate(clock, until=math.inf)
+    held = [ensureDeferred(gate.hold(lambda: False)) for _ in range(2)]
+    held[0].addErrback(lambda failure: failure.trap(CancelledError))
+    held[0].cancel()
+    clock.advance(HOLD_LIMIT_S)
+    assert held[1].called
+    assert not gate.waiting
