--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -252,7 +252,12 @@
         beyond_quota = self.admit(call)
         if beyond_quota is not None:
             return refusal_answer(beyond_quota)
-        answer = await self._serve_admitted(call)
+        try:
+            answer = await self._serve_admitted(call)
+        except CancelledError:
+            if not call.attempts:
+                self.refund(call)
+            raise
         if answer.refusal is not None and not call.target_attempts:
             self.refund(call)
         return answer
--- a/tests/quotas/test_gate.py
+++ b/tests/quotas/test_gate.py
@@ -73,6 +73,17 @@
     assert scene.tokens == pytest.approx(before, abs=0.1)
 
 
+def test_caller_that_leaves_before_its_request_is_sent_costs_no_token(scene):
+    before = scene.tokens
+    scene.entry.start_gate.until = scene.network.seconds() + 2.0
+    scene.entry.facts.presences_by_service.clear()
+    scene.entry.facts.endpoint_cache.clear()
+    scene.walk.send(b"POST").transport.abortConnection()
+    scene.network.run(0.1)
+    assert not scene.walk.target.received
+    assert scene.tokens == pytest.approx(before, abs=0.2)
+
+
 def test_request_that_may_have_run_keeps_its_token(scene):
     before = scene.tokens
     caller = scene.walk.send(b"POST")
