--- a/src/fulmarrudder/model/arrangement.py
+++ b/src/fulmarrudder/model/arrangement.py
@@ -40,7 +40,7 @@
     """
 
     name: str
-    keys: tuple[str, ...]
+    keys: tuple[str, ...] = dataclasses.field(repr=False)
     rank: int | None = None
     requests_per_s: float = 0.0
     burst: float = 0.0
--- a/tests/tenants/test_identify.py
+++ b/tests/tenants/test_identify.py
@@ -149,3 +149,7 @@
     headers = Headers(routed.head.headers.fields, b"x-key:k3\r\n")
     routed = dataclasses.replace(routed, head=routed.head.with_headers(headers))
     assert identifier_of(ACME, BETA).identify(routed) is UNKNOWN_KEY
+
+
+def test_a_tenant_is_shown_without_its_keys():
+    assert "k1" not in repr(ACME)
