--- a/src/fulmarrudder/tenants/keys.py
+++ b/src/fulmarrudder/tenants/keys.py
@@ -48,7 +48,7 @@
         for tenant in removed:
             del by_name[tenant.name]
             for key in tenant.keys:
-                del by_key[key.encode()]
+                by_key.pop(key.encode(), None)
         faults = []
         for tenant in added:
             if tenant.name in by_name:
--- a/tests/tenants/test_identify.py
+++ b/tests/tenants/test_identify.py
@@ -153,3 +153,10 @@
 
 def test_a_tenant_is_shown_without_its_keys():
     assert "k1" not in repr(ACME)
+
+
+def test_a_key_that_its_tenant_lists_twice_can_be_taken_away():
+    twice = Tenant(name="acme", keys=("k1", "k1"))
+    before = key_table_of([twice]).ok
+    after = before.changed(removed=[twice], added=[ACME]).ok
+    assert after.by_key == {b"k1": ACME, b"k2": ACME}
