A hot tenant does not push out the costly requests of others

In a full queue a request gives way to one that costs half of it, whoever sent either: a tenant with many short requests displaced another's only long one, before whose turn it would not have been served. None of another tenant gives way now whose turn comes first. The first case failed before.

--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -389,17 +389,21 @@
         """Returns the queued request that gives way in a full queue, or None.
 
         It is one of the least urgent rank; of these, one that will be late, and
-        then the one that costs most.
+        then the one that costs most. None of another tenant gives way whose
+        turn comes first.
         """
         if not self.uses_work:
             return None
+        own_turn = self.turns.next_turn(request.tenant)
         cost_s = self._service_time_of(request)
         latest, latest_key = None, (request.rank, False, cost_s)
-        for rank, late, *_, waiter in self.heap:
+        for rank, late, turn, *_, waiter in self.heap:
             if not waiter.is_waiting:
                 continue
             waiter_cost_s = self._service_time_of(waiter.request)
             if rank == request.rank and not late:
+                if turn < own_turn and waiter.request.tenant != request.tenant:
+                    continue
                 waiter_cost_s /= COSTLIER_FACTOR
             key = (rank, late, waiter_cost_s)
             if key > latest_key:
--- a/tests/call/test_placement.py
+++ b/tests/call/test_placement.py
@@ -117,6 +117,24 @@
         result_of(waiting[refused[0]])
 
 
+@pytest.mark.parametrize(
+    ("tenant", "gives_way"), [(b"hot", False), (b"other", True), (None, True)]
+)
+def test_hot_tenant_does_not_push_out_costly_requests_of_others(
+    tenant, gives_way
+):
+    _, slots, _ = told_slots(costs=(("lookup", 0.1), ("upload", 0.3)))
+    granted = [
+        slots.acquire(99.0, request(tenant=name, route=route))
+        for name, route in [(b"calm", "upload"), *[(b"hot", "lookup")] * 3]
+    ]
+    assert slots.queued == MAX_QUEUE_PER_SLOT
+    granted[0].addErrback(lambda failure: failure.trap(SlotError))
+    newcomer = slots.acquire(99.0, request(tenant=tenant))
+    newcomer.addErrback(lambda failure: failure.trap(SlotError))
+    assert granted[0].called == gives_way
+
+
 def test_callers_of_a_herd_get_different_times_to_return():
     _, slots, _ = told_slots()
     found = [slots.retry_after() for _ in range(5)]
