An evacuation refuses each waiting request once

All were taken from the queue before the first was refused. If the end of one cancelled another, as on a connection that closes, the evacuation was not applied: AlreadyCalledError. The test failed before.

--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -431,9 +431,9 @@
         waiters = [entry[-1] for entry in self.heap if entry[-1].is_waiting]
         self.heap.clear()
         for waiter in waiters:
-            self._abandon(waiter)
-        for waiter in waiters:
-            waiter.granted.errback(SlotError(detail))
+            # The end of one request may have cancelled others.
+            if waiter.is_waiting:
+                self._refuse(waiter, detail)
 
     def _refuse(self, waiter: "_Waiter", detail: str) -> None:
         self._abandon(waiter)
--- a/tests/call/test_fairness.py
+++ b/tests/call/test_fairness.py
@@ -103,3 +103,13 @@
         granted.cancel()
     waiting = [("b", last), ("a", ask(slots, "a")), ("b", ask(slots, "b"))]
     assert order_served(slots, waiting) == "bab"
+
+
+def test_end_of_one_refused_request_may_cancel_another():
+    slots = busy_slots()
+    first, second = ask(slots, "a"), ask(slots, "b")
+    second.addErrback(lambda failure: None)
+    first.addErrback(lambda failure: second.cancel())
+    slots.refuse_waiting("the data centre is evacuated")
+    assert second.called
+    assert slots.queued == 0
