--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -11,6 +11,7 @@
 import math
 import random
 from collections.abc import Callable
+from functools import singledispatchmethod
 
 from twisted.internet.defer import Deferred, succeed
 
@@ -768,17 +769,28 @@
         now = self.clock.seconds()
         self.balancer.vacancies.told(node, vacancy.slowness / 100, now)
 
+    @singledispatchmethod
     def _on_new_fact(self, fact: Fact) -> None:
-        if isinstance(fact, Evidence):
-            self.monitor.add_evidence(fact)
-        if isinstance(fact, MoveProgress | Brake):
-            self._sync_moves()
-        if isinstance(fact, Evacuation):
-            self.evacuations.apply(fact)
-        if isinstance(fact, SourceEra):
-            self.on_source_era(fact.number)
-        if not isinstance(fact, Presence):
-            return
+        """Applies a fact that is new to this node."""
+
+    @_on_new_fact.register
+    def _(self, fact: Evidence) -> None:
+        self.monitor.add_evidence(fact)
+
+    @_on_new_fact.register
+    def _(self, fact: MoveProgress | Brake) -> None:
+        self._sync_moves()
+
+    @_on_new_fact.register
+    def _(self, fact: Evacuation) -> None:
+        self.evacuations.apply(fact)
+
+    @_on_new_fact.register
+    def _(self, fact: SourceEra) -> None:
+        self.on_source_era(fact.number)
+
+    @_on_new_fact.register
+    def _(self, fact: Presence) -> None:
         self._log_presence(fact)
         self.entry.start_gate.notify()
         if fact.condition is Condition.LOST:
