Requests that have left do not pile up in the queue's heap

An entry was removed only once it came first. Those of a later turn or a lower rank that expired, gave way or left stayed as long as others kept coming, and each newcomer looked at all of them. The test failed before.

--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -34,6 +34,9 @@
 # wait exceeds this fraction of the average service time: below that, waiting
 # costs less than forwarding to another node.
 MAX_SPILL_WAIT_FACTOR = 0.25
+# Entries of requests that have left are removed once the heap has this many times
+# the entries that it needs.
+MAX_HEAP_FACTOR = 4
 # Queued requests per slot above which a request that will miss its soft
 # deadline is refused instead of requeued behind those that can still meet it.
 MAX_LATE_QUEUE_PER_SLOT = 0.25
@@ -462,6 +465,9 @@
         return waiter.granted
 
     def _push(self, waiter: _Waiter, *, late: bool) -> None:
+        if len(self.heap) > MAX_HEAP_FACTOR * (self.queued + self.capacity):
+            self.heap = [entry for entry in self.heap if entry[-1].is_waiting]
+            heapq.heapify(self.heap)
         place = _place_of(waiter.request, waiter.turn, late=late)
         heapq.heappush(self.heap, (*place, next(self.sequence), waiter))
 
--- a/tests/call/test_fairness.py
+++ b/tests/call/test_fairness.py
@@ -113,3 +113,15 @@
     slots.refuse_waiting("the data centre is evacuated")
     assert second.called
     assert slots.queued == 0
+
+
+def test_requests_that_have_left_do_not_pile_up_behind_those_that_wait():
+    slots = busy_slots()
+    ask(slots, "a")
+    for _ in range(100):
+        left = ask(slots, "b", rank=1)
+        left.addErrback(lambda failure: None)
+        left.cancel()
+    assert len(slots.heap) <= 10
+    waiting = [("c", ask(slots, "c", rank=1)), ("a", ask(slots, "a"))]
+    assert order_served(slots, [*waiting, ("-", ask(slots, None))]) == "-a"
