--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -34,6 +34,9 @@
 # wait exceeds this fraction of the average service time: below that, waiting
 # costs less than forwarding to another node.
 MAX_SPILL_WAIT_FACTOR = 0.25
+# Entries of requests that have left are removed once the heap has this many times
+# the entries that it needs.
+MAX_HEAP_FACTOR = 4
 # Queued requests per slot above which a request that will miss its soft
 # deadline is refused instead of requeued behind those that can still meet it.
 MAX_LATE_QUEUE_PER_SLOT = 0.25
@@ -280,14 +283,18 @@
                 return fail(SlotError("too little time is left"))
             if self.rate.take(self.clock.seconds()):
                 return succeed(self._take(request))
-        refusal = self._rejection_detail(request)
+        giving_way = self._giving_way_to(request) if self._is_full else None
+        refusal = self._rejection_detail(request, giving_way)
         if refusal:
             return fail(SlotError(refusal))
-        if self.queued >= self.capacity * MAX_QUEUE_PER_SLOT:
-            giving_way = self._less_urgent_than(request)
-            self._refuse(giving_way, "a more urgent request came")
+        if giving_way is not None:
+            self._refuse(*giving_way)
         return self._queue(request)
 
+    @property
+    def _is_full(self) -> bool:
+        return self.queued >= self.capacity * MAX_QUEUE_PER_SLOT
+
     def _take(self, request: SlotRequest) -> Run:
         self.taken += 1
         now = self.clock.seconds()
@@ -305,14 +312,16 @@
     def _service_time_of(self, request: SlotRequest) -> float:
         return self.service_time(request.route, request.body_bytes)
 
-    def _rejection_detail(self, request: SlotRequest) -> str:
+    def _rejection_detail(
+        self,
+        request: SlotRequest,
+        giving_way: "tuple[_Waiter, str] | None",
+    ) -> str:
         now = self.clock.seconds()
         if request.deadline <= now:
             return "no time left"
-        is_full = self.queued >= self.capacity * MAX_QUEUE_PER_SLOT
-        if is_full and self._less_urgent_than(request) is None:
-            if not self._make_room(request):
-                return "queue is full"
+        if self._is_full and giving_way is None:
+            return "queue is full"
         wait_s = self.expected_wait(request.rank, request.tenant)
         service_time_s = self._service_time_of(request)
         average_s = self.average_service_time_s
@@ -335,11 +344,22 @@
             return "queue is too long to be prompt"
         return ""
 
-    def _make_room(self, request: SlotRequest) -> bool:
-        """Refuses a waiting request of a tenant that has more of them.
-
-        Returns:
-            Whether there was one of the same rank, two turns later at least.
+    def _giving_way_to(
+        self, request: SlotRequest
+    ) -> "tuple[_Waiter, str] | None":
+        """Returns who gives way to a request in a full queue, and why."""
+        waiter = self._less_urgent_than(request)
+        if waiter is not None:
+            return waiter, "a more urgent request came"
+        waiter = self._later_than(request)
+        if waiter is not None:
+            return waiter, "its tenant has more requests here"
+        return None
+
+    def _later_than(self, request: SlotRequest) -> "_Waiter | None":
+        """Returns a waiting request of a tenant that has more of them, or None.
+
+        It is of the same rank, and two turns later at least.
         """
         turn = self.turns.next_turn(request.tenant)
         later = max(
@@ -348,9 +368,8 @@
             default=None,
         )
         if later is None or later[2] <= turn + 1:
-            return False
-        self._refuse(later[-1], "its tenant has more requests here")
-        return True
+            return None
+        return later[-1]
 
     def _least_wait_of(self, request: SlotRequest, wait_s: float) -> float:
         """Returns the seconds that a request waits if no other overtakes it.
@@ -373,17 +392,21 @@
         """Returns the queued request that gives way in a full queue, or None.
 
         It is one of the least urgent rank; of these, one that will be late, and
-        then the one that costs most.
+        then the one that costs most. None of another tenant gives way whose
+        turn comes first.
         """
         if not self.uses_work:
             return None
+        own_turn = self.turns.next_turn(request.tenant)
         cost_s = self._service_time_of(request)
         latest, latest_key = None, (request.rank, False, cost_s)
-        for rank, late, *_, waiter in self.heap:
+        for rank, late, turn, *_, waiter in self.heap:
             if not waiter.is_waiting:
                 continue
             waiter_cost_s = self._service_time_of(waiter.request)
             if rank == request.rank and not late:
+                if turn < own_turn and waiter.request.tenant != request.tenant:
+                    continue
                 waiter_cost_s /= COSTLIER_FACTOR
             key = (rank, late, waiter_cost_s)
             if key > latest_key:
@@ -411,9 +434,9 @@
         waiters = [entry[-1] for entry in self.heap if entry[-1].is_waiting]
         self.heap.clear()
         for waiter in waiters:
-            self._abandon(waiter)
-        for waiter in waiters:
-            waiter.granted.errback(SlotError(detail))
+            # The end of one request may have cancelled others.
+            if waiter.is_waiting:
+                self._refuse(waiter, detail)
 
     def _refuse(self, waiter: "_Waiter", detail: str) -> None:
         self._abandon(waiter)
@@ -442,6 +465,9 @@
         return waiter.granted
 
     def _push(self, waiter: _Waiter, *, late: bool) -> None:
+        if len(self.heap) > MAX_HEAP_FACTOR * (self.queued + self.capacity):
+            self.heap = [entry for entry in self.heap if entry[-1].is_waiting]
+            heapq.heapify(self.heap)
         place = _place_of(waiter.request, waiter.turn, late=late)
         heapq.heappush(self.heap, (*place, next(self.sequence), waiter))
 
--- a/tests/call/test_fairness.py
+++ b/tests/call/test_fairness.py
@@ -76,6 +76,24 @@
     assert slots.queued == MAX_QUEUE_PER_SLOT
 
 
+def test_nobody_gives_way_to_a_request_that_is_refused_all_the_same():
+    slots = busy_slots()
+    hot = [ask(slots, "a") for _ in range(MAX_QUEUE_PER_SLOT)]
+    with pytest.raises(SlotError):
+        result_of(ask(slots, "b", spill_deadline=0.001))
+    assert not any(granted.called for granted in hot)
+
+
+def test_one_request_gives_way_where_slots_were_taken_away():
+    slots = busy_slots(capacity=2)
+    hot = [ask(slots, "a") for _ in range(2 * MAX_QUEUE_PER_SLOT)]
+    slots.resize(1)
+    other = ask(slots, "b")
+    with pytest.raises(SlotError):
+        result_of(hot[-1])
+    assert not other.called
+
+
 def test_requests_that_leave_do_not_count_against_their_tenant():
     slots = busy_slots()
     left = [ask(slots, "a") for _ in range(3)]
@@ -85,3 +103,25 @@
         granted.cancel()
     waiting = [("b", last), ("a", ask(slots, "a")), ("b", ask(slots, "b"))]
     assert order_served(slots, waiting) == "bab"
+
+
+def test_end_of_one_refused_request_may_cancel_another():
+    slots = busy_slots()
+    first, second = ask(slots, "a"), ask(slots, "b")
+    second.addErrback(lambda failure: None)
+    first.addErrback(lambda failure: second.cancel())
+    slots.refuse_waiting("the data centre is evacuated")
+    assert second.called
+    assert slots.queued == 0
+
+
+def test_requests_that_have_left_do_not_pile_up_behind_those_that_wait():
+    slots = busy_slots()
+    ask(slots, "a")
+    for _ in range(100):
+        left = ask(slots, "b", rank=1)
+        left.addErrback(lambda failure: None)
+        left.cancel()
+    assert len(slots.heap) <= 10
+    waiting = [("c", ask(slots, "c", rank=1)), ("a", ask(slots, "a"))]
+    assert order_served(slots, [*waiting, ("-", ask(slots, None))]) == "-a"
--- a/tests/call/test_placement.py
+++ b/tests/call/test_placement.py
@@ -117,6 +117,24 @@
         result_of(waiting[refused[0]])
 
 
+@pytest.mark.parametrize(
+    ("tenant", "gives_way"), [(b"hot", False), (b"other", True), (None, True)]
+)
+def test_hot_tenant_does_not_push_out_costly_requests_of_others(
+    tenant, gives_way
+):
+    _, slots, _ = told_slots(costs=(("lookup", 0.1), ("upload", 0.3)))
+    granted = [
+        slots.acquire(99.0, request(tenant=name, route=route))
+        for name, route in [(b"calm", "upload"), *[(b"hot", "lookup")] * 3]
+    ]
+    assert slots.queued == MAX_QUEUE_PER_SLOT
+    granted[0].addErrback(lambda failure: failure.trap(SlotError))
+    newcomer = slots.acquire(99.0, request(tenant=tenant))
+    newcomer.addErrback(lambda failure: failure.trap(SlotError))
+    assert granted[0].called == gives_way
+
+
 def test_callers_of_a_herd_get_different_times_to_return():
     _, slots, _ = told_slots()
     found = [slots.retry_after() for _ in range(5)]
@@ -131,6 +149,8 @@
         (b"3,0,8,140", 1.4),
         (b"3, 0, 8, 90", 0.9),
         (b"3,0,8,x", None),
+        (b"3,0,8," + b"9" * 400, None),
+        (b"3,0,8," + b"9" * 5000, None),
         (None, None),
     ],
 )
@@ -336,6 +356,17 @@
     assert len(target.exchanges) == LOSSES_TO_OPEN + 2
 
 
+def test_target_that_was_started_again_is_tried_at_once():
+    target = ClosingTarget()
+    for _ in range(LOSSES_TO_OPEN):
+        target.lose_one()
+    target.announce()
+    assert refusal_in(target.send_request()[1])
+    target.announce(incarnation=2)
+    target.send_request()
+    assert len(target.exchanges) == LOSSES_TO_OPEN + 1
+
+
 def answered():
     return ResponseHead(
         status=200,
--- a/tests/tenants/test_identify.py
+++ b/tests/tenants/test_identify.py
@@ -99,8 +99,10 @@
         fail_closed=fail_closed, unconfirmed_s=5.0
     )
     identifier.clock.advance(age_s)
-    found = identifier.identify(routed_with((b"x-key", b"k1"), route=route))
-    assert (found is not UNCONFIRMED_KEYS) == is_served
+    # A key that is unknown may be one of a later version.
+    for key in (b"k1", b"later"):
+        found = identifier.identify(routed_with((b"x-key", key), route=route))
+        assert (found is not UNCONFIRMED_KEYS) == is_served
 
 
 def test_a_key_may_move_from_one_tenant_to_another():
@@ -147,3 +149,14 @@
     headers = Headers(routed.head.headers.fields, b"x-key:k3\r\n")
     routed = dataclasses.replace(routed, head=routed.head.with_headers(headers))
     assert identifier_of(ACME, BETA).identify(routed) is UNKNOWN_KEY
+
+
+def test_a_tenant_is_shown_without_its_keys():
+    assert "k1" not in repr(ACME)
+
+
+def test_a_key_that_its_tenant_lists_twice_can_be_taken_away():
+    twice = Tenant(name="acme", keys=("k1", "k1"))
+    before = key_table_of([twice]).ok
+    after = before.changed(removed=[twice], added=[ACME]).ok
+    assert after.by_key == {b"k1": ACME, b"k2": ACME}
