A vacancy that a node tells is heard again

Cause: the merge of placement beside quotas lost the registration of the handler of Vacancy, so that every told free slot ended in the fallback, with a warning 'link-message-unexpected' for each message. The test of the exchange, which was there, fails without the line.

--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -596,6 +596,7 @@
     def _(self, message: QuotaUse, link: Link) -> None:
         self.quota_exchange.receive(message, link)
 
+    @_handle.register
     def _(self, message: Vacancy, link: Link) -> None:
         self.on_vacancy(link.node, message)
 
