The watch of waiting bodies forgets the body of an aborted answer

Cause: a call whose answer breaks off ends without caller_lost(), so that its body stayed among those that LeavingWatch reads on: kept with its buffers, and counted against the limit that all of them share, after the connection had gone. Change: the end of a call ends the watch of its body. The test fails without.

--- a/src/fulmarrudder/call/served.py
+++ b/src/fulmarrudder/call/served.py
@@ -374,4 +374,5 @@
         if self.done:
             return
         self.done = True
+        self.factory.leaving_watch.discard(self.body)
         self.connection.call_done(self, reusable)
--- a/tests/call/test_server.py
+++ b/tests/call/test_server.py
@@ -451,3 +451,18 @@
     harness.answer(data=b"hello")
     assert transport.aborted
     assert not harness.calls.active
+
+
+def post(size):
+    return b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+
+
+# A body that waits when its answer breaks was watched, and kept, for ever.
+def test_body_of_an_aborted_answer_is_no_longer_watched(harness):
+    connection, _ = harness.connect()
+    connection.dataReceived(post(200_000) + b"x")
+    call = connection.calls[0]
+    call.body.pauseProducing()
+    assert call.body in harness.calls.leaving_watch.paused
+    call.abort_answer()
+    assert not harness.calls.leaving_watch.paused
