A pipelined body that waits for a slot is not read on

Cause: when the request before it has ended, the bytes that were held back are decoded, which may fill the body's replay buffer so that it pauses reading; the end of the connection's own pause then resumed reading, and the body, which counts as paused, did not pause it again. The rest of the body was read into memory, up to the limit of a body, until the request got its slot. Change: the connection leaves the resumption to a body that waits. The test fails without.

--- a/src/fulmarrudder/call/server.py
+++ b/src/fulmarrudder/call/server.py
@@ -365,7 +365,9 @@
             self.transport.pauseProducing()
         elif self.reading_paused and not self.closing:
             self.reading_paused = False
-            self.transport.resumeProducing()
+            # A body that waits resumes reading itself.
+            if not (self.calls and self.calls[-1].body.paused):
+                self.transport.resumeProducing()
 
     def enforce_body_limit(self) -> None:
         """Resets the connection if a request body exceeds the limit."""
--- a/tests/call/test_server.py
+++ b/tests/call/test_server.py
@@ -14,6 +14,7 @@
     RouteTable,
     served,
 )
+from fulmarrudder.call.body import MAX_REPLAY_BYTES
 from fulmarrudder.call.buffering import MAX_BUFFERED_BYTES
 from fulmarrudder.call.message import (
     BodyEnd,
@@ -466,3 +467,22 @@
     assert call.body in harness.calls.leaving_watch.paused
     call.abort_answer()
     assert not harness.calls.leaving_watch.paused
+
+
+# The end of the wait for the request before resumed it.
+def test_pipelined_body_that_waits_for_a_slot_is_not_read_on(harness):
+    harness.announce(slots=1)
+    connection, transport = harness.connect()
+    connection.dataReceived(get())
+    other, _ = harness.connect()
+    other.dataReceived(get())
+    connection.dataReceived(post(200_000) + b"x" * 3_000)
+    connection.dataReceived(b"x" * MAX_REPLAY_BYTES)
+    assert transport.producerState == "paused"
+    harness.answer()
+    harness.clock.advance(0)
+    assert connection.calls[0].body.paused
+    assert transport.producerState == "paused"
+    harness.answer()
+    harness.clock.advance(0)
+    assert transport.producerState == "producing"
