--- a/src/fulmarrudder/client.py
+++ b/src/fulmarrudder/client.py
@@ -165,7 +165,10 @@
 
 
 @main.command()
-@click.argument("path", type=click.Path(exists=True, path_type=pathlib.Path))
+@click.argument(
+    "path",
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+)
 @click.option(
     "--expecting",
     type=int,
@@ -185,7 +188,10 @@
 
 
 @main.command()
-@click.argument("path", type=click.Path(exists=True, path_type=pathlib.Path))
+@click.argument(
+    "path",
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+)
 @click.option(
     "--against",
     default="",
--- a/tests/operate/test_check.py
+++ b/tests/operate/test_check.py
@@ -190,6 +190,12 @@
     assert (done.exit_code, text in done.output) == (status, True), done.output
 
 
+def test_a_folder_is_wrong_usage(tmp_path):
+    done = CliRunner().invoke(main, ["check", str(tmp_path)])
+    assert done.exit_code == 2
+    assert "is a directory" in done.output
+
+
 def test_report_is_printed_as_json(tmp_path):
     path = tmp_path / "new.json"
     path.write_text(json.dumps(DOUBTFUL))
