A fault while another claim holds a key leaves the outcome open

Cause: any error of the log's client during a claim was answered as 'could not be claimed', not run; also once another claim of the key was known, whose request may have run. Change: from then on the answer is that of a pending key. The test fails without the change.

--- a/src/fulmarrudder/call/claims.py
+++ b/src/fulmarrudder/call/claims.py
@@ -162,12 +162,7 @@
             raise
         except Exception as error:
             # Nothing has run, and the caller is told so.
-            logs.error(
-                "claim-failed",
-                stream=self.stream,
-                error=type(error).__name__,
-                detail=error,
-            )
+            self._log_failure(error)
             self._enqueue(ReleaseKey(key=key, claim=claim_id))
             return Unavailable()
 
@@ -190,7 +185,22 @@
             return Unavailable()
         if entry.claim_id == claim_id:
             return Acquired(claim_id=claim_id)
-        return await self._resolve_other(entry, fingerprint, deadline)
+        try:
+            return await self._resolve_other(entry, fingerprint, deadline)
+        except CancelledError:
+            raise
+        except Exception as error:
+            # The request of the other claim may have run.
+            self._log_failure(error)
+            return Pending()
+
+    def _log_failure(self, error: Exception) -> None:
+        logs.error(
+            "claim-failed",
+            stream=self.stream,
+            error=type(error).__name__,
+            detail=error,
+        )
 
     def settle(self, answer: SettleKey) -> None:
         """Stores the answer of a request that ran."""
--- a/tests/call/test_claims.py
+++ b/tests/call/test_claims.py
@@ -105,6 +105,22 @@
     assert isinstance(later[0], Acquired)
 
 
+# The request of the other claim may have run.
+def test_fault_while_another_claim_holds_the_key_leaves_its_outcome_open():
+    log, clock = FakeLog(), Clock()
+    claim(make_claims(log, clock), clock)
+    run(clock, 0.1)
+    duplicate = claim(make_claims(log, clock), clock)
+    run(clock, 0.01)
+
+    def fail_to_read(*args, **kwargs):
+        raise ValueError("not a batch")
+
+    log.read = fail_to_read
+    run(clock, 1.0)
+    assert isinstance(duplicate[0], Pending)
+
+
 def test_claim_whose_append_got_no_reply_still_holds():
     log, clock = FakeLog(), Clock()
     log.answers_to_lose = 1
