An evacuation that the copy of a store lacks outlives the restart of a node

Cause: a node that starts after the store has come back from an older copy waits for no records to be written again. It had heard of the evacuation from others, did not find the record, and told all nodes, with a position of the new era, that it had ended: the restart of one node ended the evacuation everywhere, until the operator wrote it again. Change: what only others have told of, from an earlier era, counts as deleted once it was awaited for AWAIT_S. Of the tests, the two with a restart of one node fail without the change; the one in which all nodes know of it from others guards against waiting for ever.

--- a/src/fulmarrudder/platform/rewrites.py
+++ b/src/fulmarrudder/platform/rewrites.py
@@ -78,6 +78,18 @@
             if self.values.get(key, (None,))[-1] is not None:
                 self._wait_for(key, "absent")
 
+    def is_only_told(self, key: str, offset: int, end: int) -> bool:
+        """Returns whether only others know a record, from an earlier era.
+
+        Args:
+            key: Key of the record.
+            offset: Position of the record.
+            end: Position at which the topic ends.
+        """
+        if key in self.values or key in self.versioned_keys:
+            return False
+        return era_of(max(0, offset)) < era_of(end)
+
     def standing_of(self, record: KeyedRecord) -> Standing:
         """Returns the standing of a record that is later by its position."""
         values = self.values.get(record.key)
--- a/src/fulmarrudder/platform/tail.py
+++ b/src/fulmarrudder/platform/tail.py
@@ -360,9 +360,25 @@
         deletions = tuple(
             KeyedRecord(key=key, value=None, offset=batch.next_offset - 1)
             for key in absent
+            if not self._is_awaited_by_others(key, batch.next_offset)
         )
         return dataclasses.replace(batch, records=batch.records + deletions)
 
+    def _is_awaited_by_others(self, key: str, end: int) -> bool:
+        """Returns whether a node that has just started lets a key wait.
+
+        The copy may lack what others have told of in an earlier era, and what
+        they still wait for.
+        """
+        if not self.rewrites.is_only_told(key, self.offsets[key], end):
+            return False
+        if self.due_timer is None:
+            self.due_timer = self.clock.callLater(AWAIT_S, self._stop_awaiting)
+        if not self.due_timer.active():
+            return False
+        self.rewrites.awaited.add(key)
+        return True
+
     async def _next_batch(self, wait_s: float) -> RecordBatch:
         if self.next_offset < 0:
             return await self.store.read_latest(self.topic)
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -317,6 +317,44 @@
         assert set(world.written_again("keyed.nodes").values()) == {1}
 
 
+# A node that starts knows it from the others only, and not since when the store
+# lacks it.
+@pytest.mark.parametrize(
+    ("rewritten_after_s", "is_in_force"), [(4.0, True), (90.0, False)]
+)
+def test_evacuation_that_the_copy_lacks_outlives_the_restart_of_a_node(
+    world, rewritten_after_s, is_in_force
+):
+    world.pass_time(ORDERED_AT_S)
+    world.store.write("keyed.op", "evacuate/lima-9", b"{}")
+    world.pass_time(1.5)
+    world.go_back(2.5, rewritten_after=rewritten_after_s)
+    world.pass_time(0.3)
+    world.kill("n3")
+    world.start("n3")
+    for _ in range(8):
+        world.pass_time(1.0)
+        for daemon in world.daemons.values():
+            assert daemon.node.facts.evacuated == {"lima-9"}
+    world.pass_time(SETTLED_S)
+    for daemon in world.daemons.values():
+        assert bool(daemon.node.facts.evacuated) is is_in_force
+
+
+def test_evacuation_ends_that_all_nodes_were_told_of_only(world):
+    world.pass_time(ORDERED_AT_S)
+    world.store.write("keyed.op", "evacuate/lima-9", b"{}")
+    world.pass_time(1.5)
+    world.go_back(2.5, rewritten_after=90.0)
+    for name in tuple(world.daemons):
+        world.pass_time(0.3)
+        world.kill(name)
+        world.start(name)
+    world.pass_time(SETTLED_S)
+    for daemon in world.daemons.values():
+        assert not daemon.node.facts.evacuated
+
+
 def test_store_without_eras_is_served_as_before(tmp_path, monkeypatch):
     world = World(tmp_path, monkeypatch, era=None)
     world.pass_time(ORDERED_AT_S)
