--- a/tests/call/test_server.py
+++ b/tests/call/test_server.py
@@ -14,6 +14,7 @@
     RouteTable,
     served,
 )
+from fulmarrudder.call.body import MAX_REPLAY_BYTES
 from fulmarrudder.call.buffering import MAX_BUFFERED_BYTES
 from fulmarrudder.call.message import (
     BodyEnd,
@@ -451,3 +452,37 @@
     harness.answer(data=b"hello")
     assert transport.aborted
     assert not harness.calls.active
+
+
+def post(size):
+    return b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % size
+
+
+# A body that waits when its answer breaks was watched, and kept, for ever.
+def test_body_of_an_aborted_answer_is_no_longer_watched(harness):
+    connection, _ = harness.connect()
+    connection.dataReceived(post(200_000) + b"x")
+    call = connection.calls[0]
+    call.body.pauseProducing()
+    assert call.body in harness.calls.leaving_watch.paused
+    call.abort_answer()
+    assert not harness.calls.leaving_watch.paused
+
+
+# The end of the wait for the request before resumed it.
+def test_pipelined_body_that_waits_for_a_slot_is_not_read_on(harness):
+    harness.announce(slots=1)
+    connection, transport = harness.connect()
+    connection.dataReceived(get())
+    other, _ = harness.connect()
+    other.dataReceived(get())
+    connection.dataReceived(post(200_000) + b"x" * 3_000)
+    connection.dataReceived(b"x" * MAX_REPLAY_BYTES)
+    assert transport.producerState == "paused"
+    harness.answer()
+    harness.clock.advance(0)
+    assert connection.calls[0].body.paused
+    assert transport.producerState == "paused"
+    harness.answer()
+    harness.clock.advance(0)
+    assert transport.producerState == "producing"
