Quotas: counts of a lost collector are told again, those of a cut-off node not

Cause: a node that turned to another collector forgot what the first might not have told. A node that was cut off told all that it had counted meanwhile once it was back, although the others had left it its part of the rate, so that buckets fell far below nothing.

Change: both. Each test failed before (attribute missing; counts told).

--- a/src/fulmarrudder/distribution/quota_exchange.py
+++ b/src/fulmarrudder/distribution/quota_exchange.py
@@ -145,7 +145,7 @@
         collector = collector_of(self.node, topology, self._heard(now))
         if collector != self.reports_to:
             self.reports_to = collector
-            self.quotas.forget_pending()
+            self.quotas.report_again()
         if not collector:
             # Its counts wait for a collector.
             return
--- a/src/fulmarrudder/quotas/admission.py
+++ b/src/fulmarrudder/quotas/admission.py
@@ -152,11 +152,22 @@
         self.view.beat(now)
 
     def take_report(self, now: float) -> QuotaReport:
-        """Returns what was counted since the last report."""
+        """Returns what was counted since the last report.
+
+        What a node counts while it is cut off is not reported: the others have
+        left it its part of the rate meanwhile.
+        """
+        is_late = self.view.is_late(self.view.data_centre, now)
+        if is_late:
+            self.pending.clear()
         counts = {}
         pressing = False
         for bucket in self.changed.values():
-            counts[tenant_id(bucket.name)] = (bucket.admitted, bucket.refused)
+            if not is_late:
+                counts[tenant_id(bucket.name)] = (
+                    bucket.admitted,
+                    bucket.refused,
+                )
             pressing |= self._is_pressing(bucket, now)
             bucket.admitted = bucket.refused = 0
         self.changed = {}
@@ -169,23 +180,28 @@
             number=self.number, counts=flat_counts(counts), pressing=pressing
         )
 
-    def forget_pending(self) -> None:
-        """Forgets the reports to a collector that is no longer used."""
+    def report_again(self) -> None:
+        """Counts what a collector that is no longer used may not have told."""
+        for counts in self.pending.values():
+            for number, (admitted, refused) in counts.items():
+                for bucket in self.by_id.get(number, ()):
+                    bucket.admitted += admitted
+                    bucket.refused += refused
+                    self.changed[bucket.name] = bucket
         self.pending.clear()
 
     def hear(self, use: QuotaUse, now: float) -> None:
         """Applies what a collector of this data centre tells."""
         own = self._included(use)
         for told in use.sums:
-            is_late = now < self.view.counted_from.get(told.data_centre, 0.0)
-            was_silent = told.data_centre in self.view.silent
+            is_late = self.view.is_late(told.data_centre, now)
             self.view.hear(told.data_centre, told.missing, now)
             is_local = told.data_centre == self.view.data_centre
             self._apply(
                 told,
                 own if is_local else {},
                 now,
-                is_late=is_late or was_silent,
+                is_late=is_late,
             )
 
     def _bucket_of(
--- a/src/fulmarrudder/quotas/fleet.py
+++ b/src/fulmarrudder/quotas/fleet.py
@@ -80,6 +80,12 @@
             del self.missing[data_centre]
         self._change(now)
 
+    def is_late(self, data_centre: str, now: float) -> bool:
+        """Returns whether counts of a data centre may have been held back."""
+        return data_centre in self.silent or now < self.counted_from.get(
+            data_centre, 0.0
+        )
+
     def beat(self, now: float) -> None:
         """Finds the data centres that have become silent, and pauses."""
         if now - self.beat_at > self.silence_s - PAUSE_MARGIN_S:
--- a/tests/quotas/test_admission.py
+++ b/tests/quotas/test_admission.py
@@ -11,6 +11,7 @@
     quotas = FleetQuotas("a1", "a", now, BOUNDS)
     quotas.set_tenants((), now)
     quotas.view.hear("a", 0.0, now)
+    quotas.view.counted_from.clear()
     quotas.set_tenants(tenants, now)
     return quotas
 
@@ -60,3 +61,27 @@
     quotas.set_tenants(None, 1.0)
     assert not quotas.has_limits
     assert quotas.admit(tenant, 1.0) is None
+
+
+def test_what_a_lost_collector_was_told_is_reported_again():
+    tenant = tenant_of(50.0)
+    quotas = lone_node(tenant)
+    quotas.admit(tenant, 0.0)
+    quotas.take_report(0.0)
+    quotas.report_again()
+    quotas.admit(tenant, 0.1)
+    assert quotas.take_report(0.1).counts[1:] == (2, 0)
+
+
+def test_what_a_node_admits_while_it_is_cut_off_is_not_told_afterwards():
+    tenant = tenant_of(50.0)
+    quotas = lone_node(tenant)
+    for now in (0.9, 1.8):
+        quotas.beat(now)
+    assert quotas.view.silent == {"a"}
+    quotas.admit(tenant, 1.8)
+    assert not quotas.take_report(1.9).counts
+    quotas.view.hear("a", 0.0, 2.0)
+    assert not quotas.take_report(2.1).counts
+    quotas.admit(tenant, 2.6)
+    assert quotas.take_report(2.6).counts[1:] == (1, 0)
