--- a/src/fulmarrudder/distribution/quota_exchange.py
+++ b/src/fulmarrudder/distribution/quota_exchange.py
@@ -153,13 +153,9 @@
         collector = collector_of(self.node, topology, self._heard(now))
         if collector != self.reports_to:
             self.reports_to = collector
-            self.quotas.forget_pending()
+            self.quotas.report_again()
         if not collector:
-            if self._is_cut_off():
-                # The others have left its part of the rate to it.
-                self.quotas.take_report(now)
-                self.quotas.forget_pending()
-            # Before it has heard any, its counts wait for a collector.
+            # Its counts wait for a collector.
             return
         report = dataclasses.replace(
             self.quotas.take_report(now), is_last=is_last
@@ -169,10 +165,6 @@
         else:
             self.links[collector].send(report)
 
-    def _is_cut_off(self) -> bool:
-        view = self.quotas.view
-        return bool(self.told_at) and view.data_centre in view.silent
-
     def _tell(self, topology: Topology, now: float) -> None:
         view = self.quotas.view
         use = self.collector.take(
