--- a/src/fulmarrudder/operate/check.py
+++ b/src/fulmarrudder/operate/check.py
@@ -7,11 +7,19 @@
 import dataclasses
 import enum
 import re
+import types
 from collections.abc import Iterable, Iterator
 from functools import singledispatch
 
 from fulmarrudder.call.retry import MAX_ATTEMPTS
-from fulmarrudder.model import Arrangement, Limits, Route, Service, Tenant
+from fulmarrudder.model import (
+    Arrangement,
+    Limits,
+    Route,
+    Service,
+    Tenant,
+    WeightedService,
+)
 
 # What no accepted request target holds.
 _UNMATCHABLE = re.compile(r"[\x00-\x20\x7f?#]|/(\.|%2e){1,2}(/|$)", re.I)
@@ -142,12 +150,25 @@
         yield f"{field.name}: {_short(before)} -> {_short(after)}"
 
 
+@singledispatch
 def _short(value) -> str:
-    if isinstance(value, tuple):
-        return "/".join(_short(item) for item in value) or "-"
-    if dataclasses.is_dataclass(value):
-        return ":".join(_short(item) for item in dataclasses.astuple(value))
-    return "-" if value is None else f"{value:g}" if value == 0 else str(value)
+    """Returns a value of a field as text for one line."""
+    return str(value)
+
+
+@_short.register
+def _(value: types.NoneType) -> str:
+    return "-"
+
+
+@_short.register
+def _(value: tuple) -> str:
+    return "/".join(map(_short, value)) or "-"
+
+
+@_short.register
+def _(value: WeightedService) -> str:
+    return f"{value.service}:{value.weight}"
 
 
 def _check_matches(arrangement: Arrangement) -> Iterator[Finding]:
@@ -264,16 +285,6 @@
         yield Kind.CONTRADICTION, "has a burst, and no rate that limits it"
 
 
-@_faults_of.register
-def _(entry: Limits) -> Iterable[tuple[Kind, str]]:
-    if entry.header_ms > entry.idle_ms:
-        yield (
-            Kind.CONTRADICTION,
-            f"a connection may take {entry.header_ms} ms for a head, and"
-            f" {entry.idle_ms} ms to begin it",
-        )
-
-
 @singledispatch
 def render_line(line) -> tuple[str, str, str]:
     """Returns the columns of a line of a report."""
