--- a/src/fulmarrudder/call/__init__.py
+++ b/src/fulmarrudder/call/__init__.py
@@ -11,7 +11,7 @@
 * `plan`: the call, with its deadlines.
 * `poison`: refusal of requests that have crashed targets.
 * `version_split`: target versions that may serve it.
-* `load_balancer`: the endpoint.
+* `load_balancer`, `selection`: the endpoint.
 * `entry`, `attempts`, `ending`, `retry`: attempts, how they ended, and retries.
 * `hop`, `sender`: the request to another node.
 * `host`, `slots`, `claims`: admission and idempotency keys on the host node.
@@ -21,7 +21,7 @@
 
 from fulmarrudder.call.body import RequestBody
 from fulmarrudder.call.collector import BodyCollector
-from fulmarrudder.call.entry import ActiveConfig, EntryPipeline
+from fulmarrudder.call.entry import EntryPipeline
 from fulmarrudder.call.errors import CallError
 from fulmarrudder.call.header_names import DEFAULT_HEADER_NAMES, HeaderNames
 from fulmarrudder.call.host import HostPipeline
@@ -32,6 +32,7 @@
     RouteTable,
     reachable_services,
 )
+from fulmarrudder.call.selection import ActiveConfig
 from fulmarrudder.call.server import CallFactory
 from fulmarrudder.call.upstream import Connection, ConnectionPool
 
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -4,7 +4,7 @@
 import functools
 import math
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 from twisted.internet.defer import CancelledError, TimeoutError
 
@@ -24,7 +24,6 @@
     Late,
     Withheld,
     counts_as_failure,
-    is_stale,
     lacks_capacity,
     may_have_reached_target,
     may_have_run,
@@ -33,7 +32,6 @@
     shows_no_target,
     with_earlier_attempts,
 )
-from fulmarrudder.call.endpoint_stats import SlotState
 from fulmarrudder.call.errors import CallError, ConnectError, WithheldError
 from fulmarrudder.call.exchange import (
     ExchangeEnd,
@@ -58,7 +56,6 @@
 )
 from fulmarrudder.call.report import EntryReport
 from fulmarrudder.call.retry import (
-    MAX_SPILL_ATTEMPTS,
     REPEATING_DECISIONS,
     RetryBudget,
     RetryContext,
@@ -66,26 +63,23 @@
     allows_attempt,
     allows_sending,
     decide_retry,
-    may_accept,
 )
-from fulmarrudder.call.route import RoutedRequest, RouteTable
+from fulmarrudder.call.route import RoutedRequest
 from fulmarrudder.call.sanitizer import sanitize_request
+from fulmarrudder.call.selection import (
+    ActiveConfig,
+    EndpointSelector,
+    overload_refusal,
+)
 from fulmarrudder.call.sender import Reply, Sender, StallCause
-from fulmarrudder.call.slots import MIN_RETRY_AFTER_S, likely_late
 from fulmarrudder.call.start import StartGate
 from fulmarrudder.call.upstream import ConnectionPool
-from fulmarrudder.call.version_split import eligible_versions
 from fulmarrudder.clock import Clock, wall_seconds
 from fulmarrudder.membership import FactStore
-from fulmarrudder.model import Condition, Presence
+from fulmarrudder.model import Presence
 from fulmarrudder.observe import EventLog, Metrics, Spans
 from fulmarrudder.pipe import run_steps
-from fulmarrudder.state_machine import State
 
-# Fraction of the latency objective, from the arrival of a call. While another
-# endpoint has a free slot, a host node queues the call only if it expects to
-# answer within this.
-SPILL_DEADLINE_FRACTION = 0.5
 BODY_LATE = not_run(
     RefusalReason.DEADLINE, "request body did not arrive in time", 408
 )
@@ -100,24 +94,6 @@
 )
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class ActiveConfig:
-    """Configuration that an entry node routes by.
-
-    Attributes:
-        state: The replicated state, or None before the first one.
-        table: Routes of its arrangement, or None before the first one.
-        withdrawn: Target versions that moves led to without completing, by
-            service.
-    """
-
-    state: State | None = None
-    table: RouteTable | None = None
-    withdrawn: Mapping[str, frozenset[str]] = dataclasses.field(
-        default_factory=dict
-    )
-
-
 def _without_tenant(routed: RoutedRequest) -> RoutedRequest | Refusal:
     """Passes on a request where there are no tenants."""
     return routed
@@ -136,7 +112,7 @@
     """Serves callers: routes calls, retries them and returns answers.
 
     Attributes:
-        active_config: Configuration by which calls are routed.
+        selector: Selects the endpoints of attempts.
         freshness: How current it is.
         retry_budgets: Retry budgets of this node, shared with `host`.
         header_names: Header field names of callers and targets.
@@ -193,7 +169,9 @@
             balancer=balancer,
         )
         balancer.local_report = host.load_report
-        self.active_config = ActiveConfig()
+        self.selector = EndpointSelector(
+            clock=clock, facts=facts, balancer=balancer, rng=rng
+        )
         self.freshness = ConfigFreshness()
         self.start_gate = StartGate(clock)
         self.version_gate = StartGate(clock, until=math.inf)
@@ -208,6 +186,15 @@
             lambda routed: self.identify(routed),
         )
 
+    @property
+    def active_config(self) -> ActiveConfig:
+        """Configuration by which calls are routed."""
+        return self.selector.active_config
+
+    @active_config.setter
+    def active_config(self, config: ActiveConfig) -> None:
+        self.selector.active_config = config
+
     async def serve(
         self,
         head: RequestHead,
@@ -291,32 +278,12 @@
         return answer
 
     def _refuse_if_overloaded(self, call: Call) -> Refusal | None:
-        """Refuses a request that is expected to be late at every endpoint.
-
-        Only the least urgent requests of a service are refused here: more
-        urgent ones overtake queued requests, so the load of a target does not
-        determine how long they wait.
-        """
-        least_urgent_rank = self.active_config.table.least_urgent_rank.get(
-            call.service, 0
-        )
-        if not call.soft_deadline or not 0 < least_urgent_rank <= call.rank:
-            return None
-        now = self.clock.seconds()
-        endpoints = self.facts.endpoints_of(call.service)
-        estimate = self.balancer.shortest_wait(endpoints, now, call.route.name)
+        """Refuses a request that is expected to be late at every endpoint."""
+        estimate = self.selector.overload_of(call)
         if estimate is None:
             return None
-        if not likely_late(
-            now, estimate.wait_s, estimate.service_time_s, call.soft_deadline
-        ):
-            return None
         self.report.overloaded(call, estimate)
-        return not_run(
-            RefusalReason.OVERLOADED,
-            "all targets told that they are full",
-            retry_after_s=max(MIN_RETRY_AFTER_S, estimate.wait_s),
-        )
+        return overload_refusal(estimate)
 
     def retry_budget_of(self, service: str) -> RetryBudget:
         """Returns the retry budget of a service."""
@@ -361,7 +328,7 @@
         last_refusal = not_run(RefusalReason.NO_TARGET, "no target to send to")
         attempts = RunningAttempts()
         try:
-            self._start_attempt(call, attempts, self._choose(call))
+            self._start_attempt(call, attempts, self.selector.choose(call))
             if not call.attempts:
                 self._report_no_endpoint(call, last_refusal)
             while attempts.running or attempts.ended.pending:
@@ -418,7 +385,7 @@
         Returns:
             Whether there was an endpoint for it.
         """
-        presence = self._choose_next(call, ended, decision)
+        presence = self.selector.choose_next(call, ended, decision)
         self._start_attempt(call, attempts, presence)
         if not attempts.running:
             self._report_no_endpoint(call, refusal)
@@ -558,7 +525,7 @@
         context = retry_context(call, attempts)
         if not allows_attempt(context) or not self._can_pay(call, context):
             return None
-        return self._choose(call)
+        return self.selector.choose(call)
 
     def _can_pay(self, call: Call, context: RetryContext) -> bool:
         """Returns whether there is a token for an attempt that needs one."""
@@ -579,67 +546,6 @@
         final = dataclasses.replace(context, replayable=False)
         return decide_retry(result.ending, final)
 
-    def _choose_next(
-        self, call: Call, ended: Attempt, decision: RetryDecision
-    ) -> Presence | None:
-        """Returns the endpoint of the attempt after one that has ended.
-
-        Args:
-            call: The call.
-            ended: The attempt that has ended.
-            decision: `RETRY` or `RESEND`.
-        """
-        if decision is RetryDecision.RESEND:
-            return ended.presence
-        presence = self._choose(call)
-        if presence is None and is_stale(ended.result.ending):
-            # There is no other endpoint, and this one may be well.
-            return ended.presence
-        return presence
-
-    def _choose(self, call: Call) -> Presence | None:
-        version_filters = eligible_versions(
-            self.active_config.state,
-            call.service,
-            call.route.name,
-            self.facts.brakes,
-            self.rng,
-            self.active_config.withdrawn.get(call.service, frozenset()),
-        )
-        endpoints = self.facts.endpoints_of(call.service)
-        now = self.clock.seconds()
-        for version_filter in version_filters:
-            eligible = tuple(
-                p for p in endpoints if version_filter.allows(p.target_version)
-            )
-            if call.capacity_refusals:
-                eligible = self._filter_by_slots(eligible, call, now)
-            chosen = self.balancer.choose(
-                eligible,
-                None,
-                now,
-                call.tried_nodes,
-                route=call.route.name,
-                body_bytes=call.head.length,
-                latency_objective_s=call.route.latency_objective_ms / 1000,
-            )
-            if chosen is not None:
-                return chosen
-        return None
-
-    def _filter_by_slots(
-        self, eligible: tuple[Presence, ...], call: Call, now: float
-    ) -> tuple[Presence, ...]:
-        return tuple(
-            presence
-            for presence in eligible
-            if may_accept(
-                self.balancer.slot_state(presence, now),
-                call.capacity_refusals,
-                tells_work=self.balancer.tells_work(presence),
-            )
-        )
-
     async def _run_attempt(
         self, call: Call, attempts: RunningAttempts, attempt: Attempt
     ) -> AttemptResult:
@@ -647,7 +553,7 @@
         started = self.clock.seconds()
         self.balancer.record_sent(presence, started)
         failed, result = True, None
-        spill_deadline = self._spill_deadline(call)
+        spill_deadline = self.selector.spill_deadline(call)
         claim_sending = functools.partial(
             self._claim_sending, call, attempts, attempt
         )
@@ -779,26 +685,3 @@
         exchange = None if is_buffered else answer.exchange
         ending = Answered(status=answer.head.status)
         return AttemptResult(ending=ending, answer=answer, exchange=exchange)
-
-    def _spill_deadline(self, call: Call) -> float:
-        """Returns the spill deadline of the current attempt.
-
-        Returns:
-            Clock seconds, or 0 when no other endpoint has a free slot.
-        """
-        if call.attempts > MAX_SPILL_ATTEMPTS:
-            return 0.0
-        now = self.clock.seconds()
-        for presence in self.facts.endpoints_of(call.service):
-            if presence.condition is not Condition.READY:
-                continue
-            if presence.node in call.tried_nodes:
-                continue
-            if self.balancer.slot_state(presence, now) is SlotState.FREE:
-                return (
-                    call.arrived_at
-                    + SPILL_DEADLINE_FRACTION
-                    * call.route.latency_objective_ms
-                    / 1000
-                )
-        return 0.0
