A node that is about to leave is no gateway

Change: a node whose presence says that it leaves is a gateway only where there are not enough others, so that links and collectors have moved before it ends.

--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -247,10 +247,12 @@
         if self.stopped:
             return
         peers = self._peers()
+        own = self.facts.presence_of(self.node)
         me = Peer(
             node=self.node,
             data_centre=self.data_centre,
             mesh_address=self.mesh_address,
+            doubtful=own is not None and own.condition is Condition.LEAVING,
         )
         self.topology = topology = topology_of(me, peers.values())
         self.quota_exchange.quotas.view.set_nodes(
@@ -424,6 +426,7 @@
                 data_centre=presence.data_centre,
                 mesh_address=presence.mesh_address,
                 lost=lost,
+                doubtful=presence.condition is Condition.LEAVING,
             )
             if lost:
                 # The directory may list it longer than its presence is kept.
--- a/src/fulmarrudder/distribution/topology.py
+++ b/src/fulmarrudder/distribution/topology.py
@@ -24,7 +24,7 @@
         mesh_address: host:port at which it accepts links.
         lost: Whether the node has been declared lost.
         doubtful: Whether nothing but the directory tells of it, and it has not
-            answered.
+            answered, or whether it is about to leave.
     """
 
     node: str
--- a/tests/distribution/test_quota_exchange.py
+++ b/tests/distribution/test_quota_exchange.py
@@ -1,10 +1,12 @@
 """Nodes tell each other of tenants' requests, where tenants have limits."""
 
+import dataclasses
+
 import pytest
 
-from fulmarrudder.model import Tenant
+from fulmarrudder.model import Condition, Tenant
 from fulmarrudder.quotas import QuotaReport, QuotaUse
-from tests.distribution.test_gossip import running_fleet
+from tests.distribution.test_gossip import presence_of, running_fleet
 
 ACME = Tenant(name="acme", keys=(), requests_per_s=50.0, burst=50.0)
 FREE = Tenant(name="free", keys=())
@@ -115,3 +117,25 @@
         for name in ("a-02", "a-03")
     }
     assert reports_to == {"a-01"}
+
+
+# A release replaces the nodes of a data centre one after the other, gateways first.
+def test_gateways_that_leave_keep_no_data_centre_from_being_heard():
+    net = running_fleet(size=6, data_centres="abc")
+    limit(net, ACME)
+    net.run(2.0)
+    leaving = [f"{data_centre}-{n:02}" for data_centre in "bc" for n in (0, 1)]
+    for name in leaving:
+        told = dataclasses.replace(
+            presence_of(net.nodes[name], sequence=2),
+            condition=Condition.LEAVING,
+        )
+        net.nodes[name].mesh.broadcast(told)
+    net.run(2.5)
+    for name in leaving:
+        net.nodes[name].mesh.stop()
+        net.kill(name)
+    for _ in range(40):
+        net.run(0.2)
+        for name in ("a-00", "a-03", "b-04", "c-05"):
+            assert not quotas_of(net, name).view.silent
