Call: a slot in use has a module of its own

Cause: host.py decides admission, and held the life of a slot besides. Change: SlotUse moves to call/holding.py, with the clock and slots in place of the host. No change of behaviour.

--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -49,6 +49,7 @@
     check_answer,
     target_fields,
 )
+from fulmarrudder.call.holding import SlotUse
 from fulmarrudder.call.host_report import HostReport
 from fulmarrudder.call.intake import Intake
 from fulmarrudder.call.message import (
@@ -73,7 +74,7 @@
 from fulmarrudder.membership import Announcement, FactStore, LocalTarget
 from fulmarrudder.model import Condition, Strike
 from fulmarrudder.observe import EventLog, Metrics, logs
-from fulmarrudder.placement import Circuit, Run, class_of
+from fulmarrudder.placement import Circuit, class_of
 from fulmarrudder.placement.circuit import PROBE_PERIOD_S
 
 # A request cancelled sooner than this is not counted: its duration says nothing
@@ -298,7 +299,14 @@
         if refusal is not None:
             self.slots.release(run=run)
             return _refusal_to_node(refusal)
-        slot_use = _SlotUse(self, request.route, run)
+        self.in_flight += 1
+        slot_use = SlotUse(
+            clock=self.clock,
+            slots=self.slots,
+            route=request.route,
+            run=run,
+            on_release=self._request_ended,
+        )
         try:
             if not request.key:
                 return await self._run(request, body, send_continue, slot_use)
@@ -308,6 +316,9 @@
         finally:
             slot_use.release_if_unused()
 
+    def _request_ended(self) -> None:
+        self.in_flight -= 1
+
     def _tenant_of(self, head: RequestHead) -> bytes | None:
         if not self.has_tenants:
             return None
@@ -493,7 +504,7 @@
         target: Announcement,
         request: HostRequest,
         body: RequestBody,
-        slot_use: "_SlotUse",
+        slot_use: SlotUse,
         connection: Connection,
     ) -> _TargetReply | Refusal:
         """Sends a request to the target, and counts it if it gets no answer."""
@@ -525,7 +536,7 @@
         self,
         request: HostRequest,
         body: RequestBody,
-        slot_use: "_SlotUse",
+        slot_use: SlotUse,
         target: Announcement,
         connection: Connection,
     ) -> _TargetReply:
@@ -690,63 +701,6 @@
     return refusal_answer(refusal, to_node=True)
 
 
-class _SlotUse:
-    """A slot in use, which is released exactly once.
-
-    It is released at the end of the exchange, or when the request ends without
-    one. While `detached`, it is kept until the claimed request has completed.
-    """
-
-    __slots__ = (
-        "exchange",
-        "host",
-        "route",
-        "run",
-        "is_held",
-        "detached",
-        "started_at",
-    )
-
-    def __init__(self, host: HostPipeline, route: str, run: Run):
-        self.host = host
-        self.route = route
-        self.run = run
-        self.exchange: Exchange | None = None
-        self.is_held = True
-        self.detached = False
-        self.started_at = 0.0
-        host.in_flight += 1
-
-    def attach(self, exchange: Exchange) -> None:
-        self.exchange = exchange
-        self.started_at = self.host.clock.seconds()
-        exchange.call_at_end(self._ended)
-
-    def release_if_unused(self) -> None:
-        """Releases the slot unless an exchange still uses it."""
-        if self.detached:
-            return
-        if self.exchange is None or self.exchange.end is not None:
-            self._release()
-
-    def _ended(self, end: ExchangeEnd) -> None:
-        self.exchange = None
-        if end is ExchangeEnd.STALE:
-            # The request may be sent again, and is released when it ends.
-            return
-        if not self.detached:
-            service_time_s = None
-            if end is ExchangeEnd.COMPLETE:
-                service_time_s = self.host.clock.seconds() - self.started_at
-            self._release(service_time_s)
-
-    def _release(self, service_time_s: float | None = None) -> None:
-        if self.is_held:
-            self.is_held = False
-            self.host.in_flight -= 1
-            self.host.slots.release(service_time_s, self.route, self.run)
-
-
 def _forward_result(result, waiting: Deferred) -> None:
     if not waiting.called:
         waiting.callback(result)
