Call: requests with a claimed key run in a filter of their own

Cause: host.py held the claim, the run to its end and the forwarding of its result beside admission. Change: they move to call/claimed.py; the test that breaks the settlement replaces it there. No change of behaviour.

--- a/src/fulmarrudder/call/__init__.py
+++ b/src/fulmarrudder/call/__init__.py
@@ -14,7 +14,8 @@
 * `load_balancer`: the endpoint.
 * `entry`, `attempts`, `ending`, `retry`: attempts, how they ended, and retries.
 * `hop`, `sender`: the request to another node.
-* `host`, `slots`, `claims`: admission and idempotency keys on the host node.
+* `host`, `slots`, `holding`: admission on the host node.
+* `claimed`, `claims`: requests with idempotency keys, run to their end.
 * `upstream`, `exchange`: connections, and one request and answer on each.
 * `buffering`: small answers, complete before they are passed on.
 """
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -13,28 +13,23 @@
 
 from twisted.internet.defer import (
     CancelledError,
-    Deferred,
     TimeoutError,
     ensureDeferred,
 )
 from twisted.internet.task import deferLater
-from twisted.python.failure import Failure
 
 from fulmarrudder.call.advice import AdviceTracker
-from fulmarrudder.call.answer import Answer, BufferedAnswer, refusal_answer
+from fulmarrudder.call.answer import Answer, refusal_answer
 from fulmarrudder.call.body import RequestBody
-from fulmarrudder.call.buffering import body_of, buffer_answer
-from fulmarrudder.call.claims import (
-    Acquired,
-    Claims,
-)
+from fulmarrudder.call.claimed import ClaimedRuns
+from fulmarrudder.call.claims import Claims
 from fulmarrudder.call.cold import ColdLimit
 from fulmarrudder.call.ending import (
     FIRST_FAILURE_STATUS,
     with_earlier_attempts,
 )
 from fulmarrudder.call.endpoint_stats import LoadReport
-from fulmarrudder.call.errors import CallError, ConnectError, SlotError
+from fulmarrudder.call.errors import ConnectError, SlotError
 from fulmarrudder.call.exchange import (
     ConnectionLostError,
     Exchange,
@@ -53,7 +48,6 @@
 from fulmarrudder.call.host_report import HostReport
 from fulmarrudder.call.intake import Intake
 from fulmarrudder.call.message import (
-    Ran,
     Refusal,
     RefusalReason,
     RequestHead,
@@ -63,7 +57,6 @@
 from fulmarrudder.call.refusals import EVACUATED, broken, late, not_run
 from fulmarrudder.call.retry import RetryBudgets
 from fulmarrudder.call.sanitizer import sanitize_response
-from fulmarrudder.call.settle import answer_for_claim, settlement
 from fulmarrudder.call.slots import SlotRequest, Slots
 from fulmarrudder.call.tally import Tallies
 from fulmarrudder.call.target_limits import TargetLimits
@@ -73,7 +66,7 @@
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.membership import Announcement, FactStore, LocalTarget
 from fulmarrudder.model import Condition, Strike
-from fulmarrudder.observe import EventLog, Metrics, logs
+from fulmarrudder.observe import EventLog, Metrics
 from fulmarrudder.placement import Circuit, class_of
 from fulmarrudder.placement.circuit import PROBE_PERIOD_S
 
@@ -154,6 +147,7 @@
         advice: Applies what the target tells of itself in its answers.
         cold: Limits the requests of a target that is cold.
         data_centre: Data centre of the node.
+        claimed: Runs the requests that claim an idempotency key.
         vacancies: Tells other nodes of free slots.
         circuit: Whether the target answers at all.
     """
@@ -186,6 +180,7 @@
         self.slots = Slots(clock)
         self.tallies = Tallies()
         self.claims: dict[str, Claims] = {}
+        self.claimed = ClaimedRuns(clock, self._claims_for)
         self.leaving = False
         self.has_tenants = False
         self.in_flight = 0
@@ -308,10 +303,13 @@
             on_release=self._request_ended,
         )
         try:
+            send = functools.partial(
+                self._run, request, body, send_continue, slot_use
+            )
             if not request.key:
-                return await self._run(request, body, send_continue, slot_use)
-            return await self._run_claimed(
-                request, body, send_continue, slot_use
+                return await send()
+            return await self.claimed.run(
+                request, slot_use, check=self.check_request, send=send
             )
         finally:
             slot_use.release_if_unused()
@@ -393,61 +391,6 @@
             self.facts, request.fingerprint, wall_seconds()
         )
 
-    async def _run_claimed(
-        self, request, body, send_continue, slot_use
-    ) -> Answer:
-        claims = self._claims_for(request.service)
-        claim = await claims.claim(
-            request.key, request.fingerprint, request.deadline
-        )
-        if not isinstance(claim, Acquired):
-            return answer_for_claim(claim)
-        # The target or this node may have changed state meanwhile.
-        refusal = self.check_request(request)
-        if refusal is not None:
-            claims.release(request.key, claim.claim_id)
-            return _refusal_to_node(refusal)
-        # From here on the request may run. Neither a lost caller nor a lost
-        # entry node may cancel it before its answer is stored.
-        slot_use.detached = True
-        running = ensureDeferred(
-            self._run_to_end(
-                request, body, send_continue, slot_use, claims, claim
-            )
-        )
-        waiting: Deferred = Deferred()
-        running.addBoth(_forward_result, waiting)
-        return await waiting
-
-    async def _run_to_end(
-        self,
-        request,
-        body,
-        send_continue,
-        slot_use,
-        claims: Claims,
-        claim: Acquired,
-    ) -> Answer:
-        try:
-            answer = await self._run(request, body, send_continue, slot_use)
-            if isinstance(answer, BufferedAnswer):
-                if answer.refusal and answer.refusal.ran is Ran.NO:
-                    claims.release(request.key, claim.claim_id)
-                return answer
-            answer = await buffer_answer(answer, self.clock, request.deadline)
-        except TimeoutError:
-            return _refusal_to_node(late("target's answer is not complete"))
-        except CallError as error:
-            return _refusal_to_node(broken(str(error)))
-        finally:
-            slot_use.detached = False
-            slot_use.release_if_unused()
-        # A large answer is not stored, so its body need not be awaited.
-        claims.settle(
-            settlement(request.key, claim, answer.head, body_of(answer))
-        )
-        return answer
-
     async def _run(self, request, body, send_continue, slot_use) -> Answer:
         target = self.local_target.latest
         connection = await self._connect(request, target)
@@ -699,19 +642,3 @@
 
 def _refusal_to_node(refusal: Refusal) -> Answer:
     return refusal_answer(refusal, to_node=True)
-
-
-def _forward_result(result, waiting: Deferred) -> None:
-    if not waiting.called:
-        waiting.callback(result)
-        return
-    # The caller has left, and the outcome is stored.
-    if not isinstance(result, Failure):
-        result.cancel()
-        return
-    logs.error(
-        "claimed-request-failed",
-        error=result.type.__name__,
-        detail=result.getErrorMessage(),
-        trace=result.getBriefTraceback(),
-    )
--- a/tests/call/test_host.py
+++ b/tests/call/test_host.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import Deferred, ensureDeferred
 from twisted.internet.task import Clock
 
-from fulmarrudder.call import host
+from fulmarrudder.call import claimed
 from fulmarrudder.call.body import RequestBody
 from fulmarrudder.call.errors import ConnectError
 from fulmarrudder.call.exchange import Exchange
@@ -432,7 +432,7 @@
     def settlement(*args):
         raise RuntimeError("broken")
 
-    monkeypatch.setattr(host, "settlement", settlement)
+    monkeypatch.setattr(claimed, "settlement", settlement)
     pending_answer, _ = harness.send_request(key="k")
     harness.run(0.1)
     pending_answer.cancel()
