--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -13,28 +13,23 @@
 
 from twisted.internet.defer import (
     CancelledError,
-    Deferred,
     TimeoutError,
     ensureDeferred,
 )
 from twisted.internet.task import deferLater
-from twisted.python.failure import Failure
 
 from fulmarrudder.call.advice import AdviceTracker
-from fulmarrudder.call.answer import Answer, BufferedAnswer, refusal_answer
+from fulmarrudder.call.answer import Answer, refusal_answer
 from fulmarrudder.call.body import RequestBody
-from fulmarrudder.call.buffering import body_of, buffer_answer
-from fulmarrudder.call.claims import (
-    Acquired,
-    Claims,
-)
+from fulmarrudder.call.claimed import ClaimedRuns
+from fulmarrudder.call.claims import Claims
 from fulmarrudder.call.cold import ColdLimit
 from fulmarrudder.call.ending import (
     FIRST_FAILURE_STATUS,
     with_earlier_attempts,
 )
 from fulmarrudder.call.endpoint_stats import LoadReport
-from fulmarrudder.call.errors import CallError, ConnectError, SlotError
+from fulmarrudder.call.errors import ConnectError, SlotError
 from fulmarrudder.call.exchange import (
     ConnectionLostError,
     Exchange,
@@ -49,10 +44,10 @@
     check_answer,
     target_fields,
 )
+from fulmarrudder.call.holding import SlotUse
 from fulmarrudder.call.host_report import HostReport
 from fulmarrudder.call.intake import Intake
 from fulmarrudder.call.message import (
-    Ran,
     Refusal,
     RefusalReason,
     RequestHead,
@@ -62,7 +57,6 @@
 from fulmarrudder.call.refusals import EVACUATED, broken, late, not_run
 from fulmarrudder.call.retry import RetryBudgets
 from fulmarrudder.call.sanitizer import sanitize_response
-from fulmarrudder.call.settle import answer_for_claim, settlement
 from fulmarrudder.call.slots import SlotRequest, Slots
 from fulmarrudder.call.tally import Tallies
 from fulmarrudder.call.target_limits import TargetLimits
@@ -72,8 +66,8 @@
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.membership import Announcement, FactStore, LocalTarget
 from fulmarrudder.model import Condition, Strike
-from fulmarrudder.observe import EventLog, Metrics, logs
-from fulmarrudder.placement import Circuit, Run, class_of
+from fulmarrudder.observe import EventLog, Metrics
+from fulmarrudder.placement import Circuit, class_of
 from fulmarrudder.placement.circuit import PROBE_PERIOD_S
 
 # A request cancelled sooner than this is not counted: its duration says nothing
@@ -153,6 +147,7 @@
         advice: Applies what the target tells of itself in its answers.
         cold: Limits the requests of a target that is cold.
         data_centre: Data centre of the node.
+        claimed: Runs the requests that claim an idempotency key.
         vacancies: Tells other nodes of free slots.
         circuit: Whether the target answers at all.
     """
@@ -185,6 +180,7 @@
         self.slots = Slots(clock)
         self.tallies = Tallies()
         self.claims: dict[str, Claims] = {}
+        self.claimed = ClaimedRuns(clock, self._claims_for)
         self.leaving = False
         self.has_tenants = False
         self.in_flight = 0
@@ -298,16 +294,29 @@
         if refusal is not None:
             self.slots.release(run=run)
             return _refusal_to_node(refusal)
-        slot_use = _SlotUse(self, request.route, run)
+        self.in_flight += 1
+        slot_use = SlotUse(
+            clock=self.clock,
+            slots=self.slots,
+            route=request.route,
+            run=run,
+            on_release=self._request_ended,
+        )
         try:
+            send = functools.partial(
+                self._run, request, body, send_continue, slot_use
+            )
             if not request.key:
-                return await self._run(request, body, send_continue, slot_use)
-            return await self._run_claimed(
-                request, body, send_continue, slot_use
+                return await send()
+            return await self.claimed.run(
+                request, slot_use, check=self.check_request, send=send
             )
         finally:
             slot_use.release_if_unused()
 
+    def _request_ended(self) -> None:
+        self.in_flight -= 1
+
     def _tenant_of(self, head: RequestHead) -> bytes | None:
         if not self.has_tenants:
             return None
@@ -382,61 +391,6 @@
             self.facts, request.fingerprint, wall_seconds()
         )
 
-    async def _run_claimed(
-        self, request, body, send_continue, slot_use
-    ) -> Answer:
-        claims = self._claims_for(request.service)
-        claim = await claims.claim(
-            request.key, request.fingerprint, request.deadline
-        )
-        if not isinstance(claim, Acquired):
-            return answer_for_claim(claim)
-        # The target or this node may have changed state meanwhile.
-        refusal = self.check_request(request)
-        if refusal is not None:
-            claims.release(request.key, claim.claim_id)
-            return _refusal_to_node(refusal)
-        # From here on the request may run. Neither a lost caller nor a lost
-        # entry node may cancel it before its answer is stored.
-        slot_use.detached = True
-        running = ensureDeferred(
-            self._run_to_end(
-                request, body, send_continue, slot_use, claims, claim
-            )
-        )
-        waiting: Deferred = Deferred()
-        running.addBoth(_forward_result, waiting)
-        return await waiting
-
-    async def _run_to_end(
-        self,
-        request,
-        body,
-        send_continue,
-        slot_use,
-        claims: Claims,
-        claim: Acquired,
-    ) -> Answer:
-        try:
-            answer = await self._run(request, body, send_continue, slot_use)
-            if isinstance(answer, BufferedAnswer):
-                if answer.refusal and answer.refusal.ran is Ran.NO:
-                    claims.release(request.key, claim.claim_id)
-                return answer
-            answer = await buffer_answer(answer, self.clock, request.deadline)
-        except TimeoutError:
-            return _refusal_to_node(late("target's answer is not complete"))
-        except CallError as error:
-            return _refusal_to_node(broken(str(error)))
-        finally:
-            slot_use.detached = False
-            slot_use.release_if_unused()
-        # A large answer is not stored, so its body need not be awaited.
-        claims.settle(
-            settlement(request.key, claim, answer.head, body_of(answer))
-        )
-        return answer
-
     async def _run(self, request, body, send_continue, slot_use) -> Answer:
         target = self.local_target.latest
         connection = await self._connect(request, target)
@@ -493,7 +447,7 @@
         target: Announcement,
         request: HostRequest,
         body: RequestBody,
-        slot_use: "_SlotUse",
+        slot_use: SlotUse,
         connection: Connection,
     ) -> _TargetReply | Refusal:
         """Sends a request to the target, and counts it if it gets no answer."""
@@ -525,7 +479,7 @@
         self,
         request: HostRequest,
         body: RequestBody,
-        slot_use: "_SlotUse",
+        slot_use: SlotUse,
         target: Announcement,
         connection: Connection,
     ) -> _TargetReply:
@@ -688,76 +642,3 @@
 
 def _refusal_to_node(refusal: Refusal) -> Answer:
     return refusal_answer(refusal, to_node=True)
-
-
-class _SlotUse:
-    """A slot in use, which is released exactly once.
-
-    It is released at the end of the exchange, or when the request ends without
-    one. While `detached`, it is kept until the claimed request has completed.
-    """
-
-    __slots__ = (
-        "exchange",
-        "host",
-        "route",
-        "run",
-        "is_held",
-        "detached",
-        "started_at",
-    )
-
-    def __init__(self, host: HostPipeline, route: str, run: Run):
-        self.host = host
-        self.route = route
-        self.run = run
-        self.exchange: Exchange | None = None
-        self.is_held = True
-        self.detached = False
-        self.started_at = 0.0
-        host.in_flight += 1
-
-    def attach(self, exchange: Exchange) -> None:
-        self.exchange = exchange
-        self.started_at = self.host.clock.seconds()
-        exchange.call_at_end(self._ended)
-
-    def release_if_unused(self) -> None:
-        """Releases the slot unless an exchange still uses it."""
-        if self.detached:
-            return
-        if self.exchange is None or self.exchange.end is not None:
-            self._release()
-
-    def _ended(self, end: ExchangeEnd) -> None:
-        self.exchange = None
-        if end is ExchangeEnd.STALE:
-            # The request may be sent again, and is released when it ends.
-            return
-        if not self.detached:
-            service_time_s = None
-            if end is ExchangeEnd.COMPLETE:
-                service_time_s = self.host.clock.seconds() - self.started_at
-            self._release(service_time_s)
-
-    def _release(self, service_time_s: float | None = None) -> None:
-        if self.is_held:
-            self.is_held = False
-            self.host.in_flight -= 1
-            self.host.slots.release(service_time_s, self.route, self.run)
-
-
-def _forward_result(result, waiting: Deferred) -> None:
-    if not waiting.called:
-        waiting.callback(result)
-        return
-    # The caller has left, and the outcome is stored.
-    if not isinstance(result, Failure):
-        result.cancel()
-        return
-    logs.error(
-        "claimed-request-failed",
-        error=result.type.__name__,
-        detail=result.getErrorMessage(),
-        trace=result.getBriefTraceback(),
-    )
