Call: the load report is a decision of its own

Cause: host.py computed what a host node reports of its target's load. Change: it moves to call/load.py, as functions of the slots, the circuit and the time. No change of behaviour.

--- a/src/fulmarrudder/call/__init__.py
+++ b/src/fulmarrudder/call/__init__.py
@@ -15,6 +15,7 @@
 * `entry`, `attempts`, `ending`, `retry`: attempts, how they ended, and retries.
 * `hop`, `sender`: the request to another node.
 * `host`, `slots`, `holding`: admission on the host node.
+* `load`: what the host node reports of its target's load.
 * `claimed`, `claims`: requests with idempotency keys, run to their end.
 * `upstream`, `exchange`: connections, and one request and answer on each.
 * `buffering`: small answers, complete before they are passed on.
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -47,6 +47,7 @@
 from fulmarrudder.call.holding import SlotUse
 from fulmarrudder.call.host_report import HostReport
 from fulmarrudder.call.intake import Intake
+from fulmarrudder.call.load import load_of, load_report
 from fulmarrudder.call.message import (
     Refusal,
     RefusalReason,
@@ -67,8 +68,7 @@
 from fulmarrudder.membership import Announcement, FactStore, LocalTarget
 from fulmarrudder.model import Condition, Strike
 from fulmarrudder.observe import EventLog, Metrics
-from fulmarrudder.placement import Circuit, class_of
-from fulmarrudder.placement.circuit import PROBE_PERIOD_S
+from fulmarrudder.placement import Circuit
 
 # A request cancelled sooner than this is not counted: its duration says nothing
 # about the target's latency.
@@ -82,8 +82,6 @@
 CIRCUIT_OPEN = not_run(
     RefusalReason.UNREACHABLE, "target closes its connections"
 )
-# A rank that goes behind all others.
-LEAST_URGENT = 1_000_000
 NO_TIME_LEFT = not_run(RefusalReason.DEADLINE, "no time left", 504)
 
 
@@ -347,7 +345,7 @@
     @property
     def load(self) -> int:
         """Number of requests that run or wait at this node."""
-        return self.slots.taken + self.slots.queued
+        return load_of(self.slots)
 
     def load_report(self, route: str, body_bytes: int = 0) -> LoadReport:
         """Returns the load of the target, for requests of a class.
@@ -356,20 +354,12 @@
             route: Name of their route.
             body_bytes: Size of their bodies.
         """
-        slots = self.slots
-        if not slots.uses_work:
-            service_time_s = slots.service_time(route)
-            return LoadReport(load=self.load, service_time_s=service_time_s)
-        work, now = slots.work, self.clock.seconds()
-        load, wait_s = self.load, slots.expected_wait(LEAST_URGENT)
-        if self.circuit.is_open:
-            # A target that fails fast is idle, and has no room all the same.
-            load, wait_s = max(load, slots.capacity), PROBE_PERIOD_S
-        return LoadReport(
-            load=load,
-            service_time_s=work.usual_s(class_of(route, body_bytes)),
-            wait_s=wait_s,
-            slowness=work.speed.now(now) / work.speed.average,
+        return load_report(
+            self.slots,
+            self.circuit,
+            self.clock.seconds(),
+            route=route,
+            body_bytes=body_bytes,
         )
 
     def check_request(self, request: HostRequest) -> Refusal | None:
