Call: scoring of endpoints is a decision of its own

Cause: load_balancer.py kept statistics and compared endpoints. Change: the candidates, their penalties and the choice of the best move to call/scoring.py, as a frozen comparison; the order of random draws stays. The test imports SLOW_START_S from there. No change of behaviour.

--- a/src/fulmarrudder/call/__init__.py
+++ b/src/fulmarrudder/call/__init__.py
@@ -11,7 +11,7 @@
 * `plan`: the call, with its deadlines.
 * `poison`: refusal of requests that have crashed targets.
 * `version_split`: target versions that may serve it.
-* `load_balancer`: the endpoint.
+* `load_balancer`, `scoring`: the endpoint, by expected latency and cost.
 * `entry`, `attempts`, `ending`, `retry`: attempts, how they ended, and retries.
 * `hop`, `sender`: the request to another node.
 * `host`, `slots`, `holding`: admission on the host node.
--- a/src/fulmarrudder/call/load_balancer.py
+++ b/src/fulmarrudder/call/load_balancer.py
@@ -6,9 +6,7 @@
 and their service time.
 """
 
-import dataclasses
 import math
-import operator
 import random
 from collections.abc import Callable, Iterable
 
@@ -21,6 +19,7 @@
     SlotState,
     WaitEstimate,
 )
+from fulmarrudder.call.scoring import Scoring, best_of, remote_penalty_s
 from fulmarrudder.model import Condition, Presence
 from fulmarrudder.observe import EventLog, Metrics
 from fulmarrudder.placement import Vacancies
@@ -29,33 +28,9 @@
 EJECT_AFTER_FAILURES = 3
 BASE_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
-SLOW_START_S = 5.0
-SLOW_START_MIN_WEIGHT = 0.1
 # A load report younger than this counts as current.
 FRESH_REPORT_S = 0.1
-# Penalty on the expected latency of an endpoint in another data centre, for the
-# round trip and the price of its bytes.
-REMOTE_PENALTY_S = 0.02
-# Further penalty, as a fraction of the latency objective: an answer that meets
-# the objective from the local data centre need not come sooner.
-REMOTE_PENALTY_FRACTION = 0.05
-# A call to the local target involves no second node and costs less processor
-# time, so its expected latency is scaled by this.
-LOCAL_TARGET_FACTOR = 0.85
-# Fraction of the latency objective within which an expected answer is fast
-# enough: a faster one from farther away adds no value but costs bytes and a
-# hop. The rest of the objective absorbs variance.
-SUFFICIENT_FRACTION = 0.6
-# Bytes of bodies and answers between data centres that cost as much as one second.
-REMOTE_BYTES_PER_S = 200_000
-# An endpoint whose failure rate is r counts as 1 + FAILURE_PENALTY * r**2 times
-# slower. The failure rate decays while no request fails.
-FAILURE_PENALTY = 20.0
 FAILURE_EWMA_WEIGHT = 0.1
-FAILURE_DECAY_S = 3.0
-# Random spread of costs, so that nodes with the same reports do not all choose
-# the same endpoint.
-JITTER = 0.08
 # One choice in this many goes to an endpoint without a load report: without a
 # request it would never send one.
 EXPLORE_ONE_IN = 8
@@ -63,8 +38,6 @@
 EXPLORE_MAX_BODY_BYTES = 8_192
 # Endpoints compared for a request. With more, nodes would all choose the same.
 SAMPLE_SIZE = 5
-# Distance of an endpoint from this node.
-LOCAL_TARGET, SAME_DATA_CENTRE, OTHER_DATA_CENTRE = range(3)
 # An endpoint is stalled when it sends no load report for this long and for this
 # multiple of its unloaded latency. A healthy node answers many requests in that
 # time, and the requests that wait for it have time left to be retried.
@@ -72,35 +45,6 @@
 STALL_TIMEOUT_FACTOR = 3.0
 
 
-@dataclasses.dataclass(slots=True, kw_only=True)
-class _Candidate:
-    """An endpoint under comparison.
-
-    Attributes:
-        distance: `LOCAL_TARGET`, `SAME_DATA_CENTRE` or `OTHER_DATA_CENTRE`.
-        latency_s: Expected latency; infinite without a load report, and
-            without a free slot unless the wait for one was reported.
-        cost_s: Expected latency adjusted for distance and slow start; finite
-            also when no slot is free.
-        has_room: Whether it is expected to have a slot free.
-    """
-
-    presence: Presence
-    distance: int
-    latency_s: float
-    cost_s: float = 0.0
-    has_room: bool = True
-
-
-def _nearest(candidates: list[_Candidate]) -> list[_Candidate]:
-    """Returns the nearest candidates with room; all of them if none has."""
-    with_room = [c for c in candidates if c.has_room]
-    if not with_room:
-        return candidates
-    nearest = min(c.distance for c in with_room)
-    return [c for c in with_room if c.distance == nearest]
-
-
 class LoadBalancer:
     """Selects endpoints for an entry node.
 
@@ -174,36 +118,34 @@
         if explore and self.rng.randrange(EXPLORE_ONE_IN) == 0:
             self.basis = "explore"
             return self.rng.choice(unreported)
-        remote_penalty_s = (
-            REMOTE_PENALTY_S
-            + (body_bytes + self.answer_bytes.get(route, 0.0))
-            / REMOTE_BYTES_PER_S
-            + REMOTE_PENALTY_FRACTION * latency_objective_s
-        )
         sampled = self._sample(eligible)
         self._ask_local_target(sampled, now, route, body_bytes)
+        moved_bytes = body_bytes + self.answer_bytes.get(route, 0.0)
+        scoring = Scoring(
+            node=self.node,
+            data_centre=self.data_centre,
+            rng=self.rng,
+            now=now,
+            route=route,
+            remote_penalty_s=remote_penalty_s(moved_bytes, latency_objective_s),
+        )
         candidates = [
-            self._score(presence, now, route, remote_penalty_s)
+            scoring.score(
+                presence,
+                self._stats_for(presence, now),
+                self._contact_with(presence.data_centre).silence_s(now),
+            )
             for presence in sampled
         ]
-        sufficient_s = SUFFICIENT_FRACTION * latency_objective_s
-        sufficient = [
-            c
-            for c in candidates
-            if c.distance < OTHER_DATA_CENTRE and c.latency_s <= sufficient_s
-        ]
-        self.basis = "nearest" if sufficient else "cost"
-        if sufficient:
-            candidates = _nearest(sufficient)
-        best = min(candidates, key=operator.attrgetter("cost_s"))
-        if not self._is_surely_free(best.presence, now):
+        best, self.basis = best_of(candidates, latency_objective_s)
+        if not self._is_surely_free(best, now):
             offered = self._best_offer(eligible, now, route)
             if offered is not None:
                 self.basis = "vacancy"
                 self.vacancies.use(offered.node)
                 self.events.metrics.count(VACANCIES_METRIC, ("event", "used"))
                 return offered
-        return best.presence
+        return best
 
     def _unreported(
         self, eligible: list[Presence], now: float
@@ -318,67 +260,6 @@
             contact = self.contacts[data_centre] = DataCentreContact()
         return contact
 
-    def _distance(self, presence: Presence) -> int:
-        if presence.node == self.node:
-            return LOCAL_TARGET
-        return (
-            SAME_DATA_CENTRE
-            if presence.data_centre == self.data_centre
-            else OTHER_DATA_CENTRE
-        )
-
-    def _score(
-        self,
-        presence: Presence,
-        now: float,
-        route: str,
-        remote_penalty_s: float,
-    ) -> _Candidate:
-        """Estimates the latency and the cost of an endpoint."""
-        distance = self._distance(presence)
-        stats = self._stats_for(presence, now)
-        slots = max(1, presence.slots)
-        excess = max(0.0, stats.expected_load(now) + 1 - slots)
-        if stats.wait_s is None:
-            latency_s = (
-                stats.unloaded_latency_s(route)
-                + stats.service_time_s * excess / slots
-            )
-        else:
-            latency_s = stats.latency_now_s(route, now, slots)
-        # A frozen or partitioned node sends no reports, which is detected long
-        # before the deadlines of the requests that were sent there.
-        latency_s = max(
-            latency_s,
-            stats.stalled_s(now),
-            self._contact_with(presence.data_centre).silence_s(now),
-        )
-        age = now - stats.last_failure_at
-        failure_rate = stats.failure_rate * math.exp(-age / FAILURE_DECAY_S)
-        latency_s *= 1 + FAILURE_PENALTY * failure_rate**2
-        has_report = stats.reported_at > 0.0
-        is_known = stats.wait_s is not None or excess == 0
-        candidate = _Candidate(
-            presence=presence,
-            distance=distance,
-            latency_s=latency_s if has_report and is_known else math.inf,
-            has_room=excess == 0,
-        )
-        if distance == LOCAL_TARGET:
-            latency_s *= LOCAL_TARGET_FACTOR
-        elif distance == OTHER_DATA_CENTRE:
-            latency_s += remote_penalty_s
-        weight = min(
-            1.0,
-            max(
-                SLOW_START_MIN_WEIGHT,
-                (now - stats.slow_start_from) / SLOW_START_S,
-            ),
-        )
-        jitter = self.rng.uniform(1 - JITTER, 1 + JITTER)
-        candidate.cost_s = latency_s / weight * jitter
-        return candidate
-
     def record_answer_bytes(self, route: str, size: int) -> None:
         """Records the size of an answer's body."""
         average = self.answer_bytes.get(route, float(size))
--- a/tests/call/test_load_balancer.py
+++ b/tests/call/test_load_balancer.py
@@ -8,11 +8,8 @@
     LoadReport,
     SlotState,
 )
-from fulmarrudder.call.load_balancer import (
-    BASE_EJECTION_S,
-    SLOW_START_S,
-    LoadBalancer,
-)
+from fulmarrudder.call.load_balancer import BASE_EJECTION_S, LoadBalancer
+from fulmarrudder.call.scoring import SLOW_START_S
 from fulmarrudder.model import Condition, Presence
 
 
