Call: offers of free slots are a decision beside placement

Cause: load_balancer.py searched the vacancies that it was told of. Change: the search moves to call/offers.py, with the name of its metric; EndpointStats tells the service time of a route, which four places looked up. No change of behaviour.

--- a/src/fulmarrudder/call/__init__.py
+++ b/src/fulmarrudder/call/__init__.py
@@ -12,6 +12,7 @@
 * `poison`: refusal of requests that have crashed targets.
 * `version_split`: target versions that may serve it.
 * `load_balancer`, `scoring`: the endpoint, by expected latency and cost.
+* `offers`: the endpoint of a slot that was told free.
 * `entry`, `attempts`, `ending`, `retry`: attempts, how they ended, and retries.
 * `hop`, `sender`: the request to another node.
 * `host`, `slots`, `holding`: admission on the host node.
--- a/src/fulmarrudder/call/endpoint_stats.py
+++ b/src/fulmarrudder/call/endpoint_stats.py
@@ -91,11 +91,16 @@
             latency_s - average_s
         )
 
+    def service_time_of(self, route: str) -> float:
+        """Returns the last reported service time of a route, in seconds.
+
+        It is the average over all routes while none was reported.
+        """
+        return self.service_time_by_route.get(route, self.service_time_s)
+
     def unloaded_latency_s(self, route: str) -> float:
         """Returns the expected latency when no request waits for a slot."""
-        service_time_s = self.service_time_by_route.get(
-            route, self.service_time_s
-        )
+        service_time_s = self.service_time_of(route)
         return max(service_time_s, self.latency_by_route.get(route, 0.0))
 
     def report_weight(self, now: float) -> float:
@@ -113,9 +118,7 @@
         """
         weight = self.report_weight(now)
         slowness = 1.0 + weight * (self.slowness - 1.0)
-        service_time_s = self.service_time_by_route.get(
-            route, self.service_time_s
-        )
+        service_time_s = self.service_time_of(route)
         return self.wait_now_s(now, slots) + max(
             service_time_s * slowness, self.latency_by_route.get(route, 0.0)
         )
--- a/src/fulmarrudder/call/load_balancer.py
+++ b/src/fulmarrudder/call/load_balancer.py
@@ -6,7 +6,6 @@
 and their service time.
 """
 
-import math
 import random
 from collections.abc import Callable, Iterable
 
@@ -19,12 +18,12 @@
     SlotState,
     WaitEstimate,
 )
+from fulmarrudder.call.offers import VACANCIES_METRIC, take_offer
 from fulmarrudder.call.scoring import Scoring, best_of, remote_penalty_s
 from fulmarrudder.model import Condition, Presence
 from fulmarrudder.observe import EventLog, Metrics
 from fulmarrudder.placement import Vacancies
 
-VACANCIES_METRIC = "fulmarrudder_vacancies_total"
 EJECT_AFTER_FAILURES = 3
 BASE_EJECTION_S = 1.0
 MAX_EJECTION_S = 30.0
@@ -139,10 +138,14 @@
         ]
         best, self.basis = best_of(candidates, latency_objective_s)
         if not self._is_surely_free(best, now):
-            offered = self._best_offer(eligible, now, route)
+            offered = take_offer(
+                self.vacancies,
+                eligible,
+                now,
+                lambda p: self._stats_for(p, now).service_time_of(route),
+            )
             if offered is not None:
                 self.basis = "vacancy"
-                self.vacancies.use(offered.node)
                 self.events.metrics.count(VACANCIES_METRIC, ("event", "used"))
                 return offered
         return best
@@ -189,25 +192,6 @@
             return False
         return stats.expected_load(now) < max(1, presence.slots)
 
-    def _best_offer(
-        self, eligible: list[Presence], now: float, route: str
-    ) -> Presence | None:
-        """Returns the endpoint with the fastest slot that was told free."""
-        best, best_s = None, math.inf
-        if not self.vacancies.by_node:
-            return None
-        for presence in eligible:
-            offer = self.vacancies.offer_of(presence.node, now)
-            if offer is None:
-                continue
-            stats = self._stats_for(presence, now)
-            usual_s = stats.service_time_by_route.get(
-                route, stats.service_time_s
-            )
-            if usual_s * offer.slowness < best_s:
-                best, best_s = presence, usual_s * offer.slowness
-        return best
-
     def tells_work(self, presence: Presence) -> bool:
         """Returns whether an endpoint tells how long requests wait there."""
         stats = self.endpoint_stats.get((presence.node, presence.incarnation))
@@ -288,12 +272,9 @@
                 return None
             slots = max(1, presence.slots)
             excess = max(0.0, stats.expected_load(now) + 1 - slots)
-            service_time_s = stats.service_time_by_route.get(
-                route, stats.service_time_s
-            )
             wait = WaitEstimate(
                 wait_s=excess * stats.service_time_s / slots,
-                service_time_s=service_time_s,
+                service_time_s=stats.service_time_of(route),
             )
             if shortest is None or wait.wait_s < shortest.wait_s:
                 shortest = wait
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -26,7 +26,7 @@
     RouteTable,
 )
 from fulmarrudder.call.budget import BudgetLimits
-from fulmarrudder.call.load_balancer import VACANCIES_METRIC
+from fulmarrudder.call.offers import VACANCIES_METRIC
 from fulmarrudder.call.start import START_S
 from fulmarrudder.clock import wall_seconds
 from fulmarrudder.distribution import Dialer, Document, Gossip
