--- a/src/fulmarrudder/call/__init__.py
+++ b/src/fulmarrudder/call/__init__.py
@@ -11,10 +11,12 @@
 * `plan`: the call, with its deadlines.
 * `poison`: refusal of requests that have crashed targets.
 * `version_split`: target versions that may serve it.
-* `load_balancer`, `selection`: the endpoint.
+* `selection`, `load_balancer`, `scoring`: the endpoint, by expected latency and cost.
+* `offers`: the endpoint of a slot that was told free.
 * `entry`, `attempts`, `ending`, `retry`: attempts, how they ended, and retries.
 * `hop`, `sender`: the request to another node.
 * `host`, `slots`, `holding`: admission on the host node.
+* `load`: what the host node reports of its target's load.
 * `claimed`, `claims`: requests with idempotency keys, run to their end.
 * `upstream`, `exchange`: connections, and one request and answer on each.
 * `buffering`: small answers, complete before they are passed on.
