Call: ejection of endpoints is a decision of its own

Cause: load_balancer.py counted failures and set ejections itself. Change: the counting moves to call/ejection.py; the balancer logs the event. No change of behaviour.

--- a/src/fulmarrudder/call/__init__.py
+++ b/src/fulmarrudder/call/__init__.py
@@ -13,6 +13,7 @@
 * `version_split`: target versions that may serve it.
 * `load_balancer`, `scoring`: the endpoint, by expected latency and cost.
 * `offers`: the endpoint of a slot that was told free.
+* `ejection`: endpoints that fail, and for how long they are left out.
 * `entry`, `attempts`, `ending`, `retry`: attempts, how they ended, and retries.
 * `hop`, `sender`: the request to another node.
 * `host`, `slots`, `holding`: admission on the host node.
--- a/src/fulmarrudder/call/load_balancer.py
+++ b/src/fulmarrudder/call/load_balancer.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable, Iterable
 
 from fulmarrudder.call.contact import DataCentreContact
+from fulmarrudder.call.ejection import count_outcome
 from fulmarrudder.call.endpoint_stats import (
     EWMA_WEIGHT,
     LOAD_REPORT_TTL_S,
@@ -24,12 +25,8 @@
 from fulmarrudder.observe import EventLog, Metrics
 from fulmarrudder.placement import Vacancies
 
-EJECT_AFTER_FAILURES = 3
-BASE_EJECTION_S = 1.0
-MAX_EJECTION_S = 30.0
 # A load report younger than this counts as current.
 FRESH_REPORT_S = 0.1
-FAILURE_EWMA_WEIGHT = 0.1
 # One choice in this many goes to an endpoint without a load report: without a
 # request it would never send one.
 EXPLORE_ONE_IN = 8
@@ -388,30 +385,11 @@
     ) -> None:
         """Records whether a request failed; see `record_finished`."""
         stats = self._stats_for(presence, now)
-        unsuccessful = failed or shed
-        stats.failure_rate += FAILURE_EWMA_WEIGHT * (
-            unsuccessful - stats.failure_rate
+        ejection_s = count_outcome(
+            stats, now, failed=failed, unreachable=unreachable, shed=shed
         )
-        if unsuccessful:
-            stats.last_failure_at = now
-        if not failed:
-            stats.consecutive_failures = 0
-            stats.consecutive_ejections = 0
+        if not ejection_s:
             return
-        stats.consecutive_failures = (
-            EJECT_AFTER_FAILURES
-            if unreachable
-            else stats.consecutive_failures + 1
-        )
-        if stats.consecutive_failures < EJECT_AFTER_FAILURES:
-            return
-        ejection_s = min(
-            MAX_EJECTION_S, BASE_EJECTION_S * 2**stats.consecutive_ejections
-        )
-        stats.ejected_until = now + ejection_s
-        stats.slow_start_from = now + ejection_s
-        stats.consecutive_ejections = min(stats.consecutive_ejections + 1, 16)
-        stats.consecutive_failures = EJECT_AFTER_FAILURES - 1
         self.events.info(
             now,
             "endpoint-ejected",
--- a/tests/call/test_incomplete_answers.py
+++ b/tests/call/test_incomplete_answers.py
@@ -3,8 +3,8 @@
 import pytest
 
 from fulmarrudder.call.buffering import MAX_BUFFERED_BYTES
+from fulmarrudder.call.ejection import EJECT_AFTER_FAILURES
 from fulmarrudder.call.exchange import BODY_GRACE_S, DEADLINE_MARGIN_S
-from fulmarrudder.call.load_balancer import EJECT_AFTER_FAILURES
 from tests.call.byte_harness import (
     CLOSED,
     RESET,
--- a/tests/call/test_load_balancer.py
+++ b/tests/call/test_load_balancer.py
@@ -3,12 +3,13 @@
 import collections
 import random
 
+from fulmarrudder.call.ejection import BASE_EJECTION_S
 from fulmarrudder.call.endpoint_stats import (
     LOAD_REPORT_TTL_S,
     LoadReport,
     SlotState,
 )
-from fulmarrudder.call.load_balancer import BASE_EJECTION_S, LoadBalancer
+from fulmarrudder.call.load_balancer import LoadBalancer
 from fulmarrudder.call.scoring import SLOW_START_S
 from fulmarrudder.model import Condition, Presence
 
