--- a/bench/quotas.py
+++ b/bench/quotas.py
@@ -1,12 +1,12 @@
 """Control bytes and refusals of quotas, by size of the fleet.
 
-    python bench/quotas.py [--nodes 58] [--tenants 71] [--seconds 8]
+    python bench/quotas.py [--nodes 58] [--workspaces 71] [--seconds 8]
 
 Nodes of four data centres run on a fake clock, each with 16 requests a second of
-tenants whose demand falls by Zipf's law; a tenant may send 1.6 times its demand.
+workspaces whose demand falls by Zipf's law; a workspace may send 1.6 times its demand.
 Beside it, on the same requests: a bucket for each data centre or node with an
 equal part of each limit (static), and one for each node with its part of the
-demand. An owner for each tenant costs two messages a request.
+demand. An owner for each workspace costs two messages a request.
 """
 
 import collections
@@ -18,7 +18,7 @@
 
 sys.path.insert(0, str(pathlib.Path(__file__).parents[1]))
 
-from tests.quotas.fleet import BOUNDS, Fleet, tenant_of  # noqa: E402
+from tests.quotas.fleet import BOUNDS, Fleet, workspace_of  # noqa: E402
 
 REQUESTS_PER_NODE = 16.0
 SKEW = 1.2
@@ -27,10 +27,10 @@
 STEP_S = 0.1
 
 
-def room_of(tenant):
+def room_of(workspace):
     """Returns what a window allows beyond the rate."""
-    rate = tenant.requests_per_s * BOUNDS.window_s
-    return (rate + tenant.burst) * (1 + BOUNDS.excess) + BOUNDS.slack - rate
+    rate = workspace.requests_per_s * BOUNDS.window_s
+    return (rate + workspace.burst) * (1 + BOUNDS.excess) + BOUNDS.slack - rate
 
 
 class PartBuckets:
@@ -44,42 +44,43 @@
         self.tokens = {}
         self.refused = 0
 
-    def ask(self, now, tenant, node):
+    def ask(self, now, workspace, node):
         """Takes a token of the part that a node draws from."""
-        place, part = self.part_of(tenant, node)
-        per_s = tenant.requests_per_s * part
-        depth = max(1.0, room_of(tenant) * part)
-        tokens, at = self.tokens.get((tenant.name, place), (depth, now))
+        place, part = self.part_of(workspace, node)
+        per_s = workspace.requests_per_s * part
+        depth = max(1.0, room_of(workspace) * part)
+        tokens, at = self.tokens.get((workspace.name, place), (depth, now))
         tokens = min(depth, tokens + per_s * (now - at))
         self.refused += tokens < 1
-        self.tokens[tenant.name, place] = (tokens - (tokens >= 1), now)
+        self.tokens[workspace.name, place] = (tokens - (tokens >= 1), now)
 
 
-def demands_of(nodes, tenants):
-    """Returns the demand of each tenant."""
-    weights = [1 / (rank + 1) ** SKEW for rank in range(tenants)]
+def demands_of(nodes, workspaces):
+    """Returns the demand of each workspace."""
+    weights = [1 / (rank + 1) ** SKEW for rank in range(workspaces)]
     scale = REQUESTS_PER_NODE * nodes / sum(weights)
     return [weight * scale for weight in weights]
 
 
 @click.command()
 @click.option("--nodes", default=58)
-@click.option("--tenants", "count", default=71)
+@click.option("--workspaces", "count", default=71)
 @click.option("--seconds", default=8.0)
-@click.option("--homed", is_flag=True, help="A tenant enters at one place.")
+@click.option("--homed", is_flag=True, help="A workspace enters at one place.")
 def main(nodes, count, seconds, homed):
     """Prints bytes a second and refusals in calm."""
     rng = random.Random(1)
     demands = demands_of(nodes, count)
-    tenants = [
-        tenant_of(QUOTA_FACTOR * demand, name=f"t{index}")
+    workspaces = [
+        workspace_of(QUOTA_FACTOR * demand, name=f"t{index}")
         for index, demand in enumerate(demands)
     ]
-    fleet = Fleet(tenants, size=max(1, round(nodes / 4)))
+    fleet = Fleet(workspaces, size=max(1, round(nodes / 4)))
     homes = {
-        tenant.name: "abcd"[index % 4] for index, tenant in enumerate(tenants)
+        workspace.name: "abcd"[index % 4]
+        for index, workspace in enumerate(workspaces)
     }
-    fleet.run(WARM_UP_S, 0, tenant="t0")
+    fleet.run(WARM_UP_S, 0, workspace="t0")
     fleet.bytes.clear()
     places = len(fleet.names)
     baselines = {
@@ -93,20 +94,22 @@
     for _ in range(round(seconds / STEP_S)):
         fleet.clock.advance(STEP_S)
         now = fleet.clock.seconds()
-        requests = rng.choices(tenants, demands, k=round(sum(demands) * STEP_S))
-        for tenant in requests:
-            home = homes[tenant.name]
+        requests = rng.choices(
+            workspaces, demands, k=round(sum(demands) * STEP_S)
+        )
+        for workspace in requests:
+            home = homes[workspace.name]
             names = [n for n in fleet.names if n[0] == home or not homed]
             node = rng.choice(names)
             asked += 1
-            fleet.ask(tenant.name, node)
+            fleet.ask(workspace.name, node)
             for baseline in baselines.values():
-                baseline.ask(now, tenant, node)
+                baseline.ask(now, workspace, node)
     per_s = collections.Counter(
         {name: sent / seconds for name, sent in fleet.bytes.items()}
     )
     refused = sum(fleet.refused.values())
-    print(f"nodes={places} tenants={count} homed={homed} asked={asked}")
+    print(f"nodes={places} workspaces={count} homed={homed} asked={asked}")
     print(
         f"bytes/s: mean {sum(per_s.values()) / places:.0f}, "
         f"largest {max(per_s.values()):.0f}"
--- a/lab/fulmarrudder_lab/placement.py
+++ b/lab/fulmarrudder_lab/placement.py
@@ -381,7 +381,7 @@
     "even": Load(),
     "uneven servers": Load(speeds=(0.6, 1.0, 1.6)),
     "wave": Load(speeds=(0.6, 1.0, 1.6), rate=_wave, load=0.6),
-    "hot tenant": Load(rate=_burst, load=0.65, returns=1),
+    "hot workspace": Load(rate=_burst, load=0.65, returns=1),
     "burst of one kind": Load(kinds=(URGENT, UPLOAD), rate=_burst, load=0.7),
     "noisy machine": Load(noise=0.15, load=0.7),
     "heavy tails": Load(
--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -94,8 +94,8 @@
 )
 
 
-def _without_tenant(routed: RoutedRequest) -> RoutedRequest | Refusal:
-    """Passes on a request where there are no tenants."""
+def _without_workspace(routed: RoutedRequest) -> RoutedRequest | Refusal:
+    """Passes on a request where there are no workspaces."""
     return routed
 
 
@@ -123,8 +123,8 @@
         report: Reports decisions as events.
         start_gate: Holds calls while the node starts.
         version_gate: Holds calls whose key a later version may hold.
-        identify: Filter that finds the tenant of a routed request.
-        admit: Filter that refuses calls beyond the quota of their tenant.
+        identify: Filter that finds the workspace of a routed request.
+        admit: Filter that refuses calls beyond the quota of their workspace.
         refund: Is told of an admitted call that reached no target.
         stop_deadline: Clock seconds by which every call is answered, as the
             node stops then; infinite while it does not stop.
@@ -175,7 +175,7 @@
         self.freshness = ConfigFreshness()
         self.start_gate = StartGate(clock)
         self.version_gate = StartGate(clock, until=math.inf)
-        self.identify = _without_tenant
+        self.identify = _without_workspace
         self.admit: Callable[[Call], Refusal | None] = _admit_all
         self.refund: Callable[[Call], None] = _refund_nothing
         self.stop_deadline = math.inf
--- a/src/fulmarrudder/call/header_names.py
+++ b/src/fulmarrudder/call/header_names.py
@@ -38,8 +38,8 @@
         requests_per_s: From targets in need: requests a second that the target
             takes from all nodes together.
         leaving: From targets: "1" if the target is about to stop.
-        api_key: From callers: key of their tenant; never passed on.
-        tenant: To targets: name of the tenant.
+        api_key: From callers: key of their workspace; never passed on.
+        workspace: To targets: name of the workspace.
         idempotency_key: From callers: key of a request that must run at most
             once, however often it is sent.
     """
@@ -55,7 +55,7 @@
     requests_per_s: bytes = b""
     leaving: bytes = b""
     api_key: bytes = b""
-    tenant: bytes = b""
+    workspace: bytes = b""
     idempotency_key: bytes = IDEMPOTENCY_KEY_HEADER
 
 
--- a/src/fulmarrudder/call/host.py
+++ b/src/fulmarrudder/call/host.py
@@ -141,7 +141,7 @@
         report: Reports decisions as events.
         retry_budgets: Retry budgets of this node.
         intake: Limits the bodies that other nodes send at once.
-        has_tenants: Whether requests tell a tenant that their entry node found.
+        has_workspaces: Whether requests tell a workspace that their entry node found.
         advice: Applies what the target tells of itself in its answers.
         cold: Limits the requests of a target that is cold.
         data_centre: Data centre of the node.
@@ -180,7 +180,7 @@
         self.claims: dict[str, Claims] = {}
         self.claimed = ClaimedRuns(clock, self._claims_for)
         self.leaving = False
-        self.has_tenants = False
+        self.has_workspaces = False
         self.in_flight = 0
         self.retry_budgets = RetryBudgets()
         self.intake = Intake(clock, link_bytes_per_s)
@@ -267,7 +267,7 @@
             rank=request.rank,
             route=request.route,
             spill_deadline=request.spill_deadline,
-            tenant=self._tenant_of(request.head),
+            workspace=self._workspace_of(request.head),
             body_bytes=request.head.length,
         )
         granted = self.slots.acquire(request.deadline, slot_request)
@@ -315,10 +315,10 @@
     def _request_ended(self) -> None:
         self.in_flight -= 1
 
-    def _tenant_of(self, head: RequestHead) -> bytes | None:
-        if not self.has_tenants:
+    def _workspace_of(self, head: RequestHead) -> bytes | None:
+        if not self.has_workspaces:
             return None
-        return head.headers.get(self.header_names.tenant)
+        return head.headers.get(self.header_names.workspace)
 
     def _overload_refusal(self, request: HostRequest, detail: str) -> Refusal:
         reason = RefusalReason.OVERLOADED
--- a/src/fulmarrudder/call/plan.py
+++ b/src/fulmarrudder/call/plan.py
@@ -15,7 +15,7 @@
 from fulmarrudder.call.message import Refusal, RequestHead
 from fulmarrudder.call.refusals import malformed
 from fulmarrudder.call.route import RoutedRequest
-from fulmarrudder.model import Presence, Route, Tenant
+from fulmarrudder.model import Presence, Route, Workspace
 
 IDEMPOTENT_METHODS = frozenset({b"GET", b"HEAD", b"OPTIONS", b"PUT", b"DELETE"})
 MAX_KEY_BYTES = 255
@@ -50,7 +50,7 @@
         rank: Priority; 0 is the most urgent.
         arrived_at: Clock seconds at which its head arrived.
         contacted: Whether an attempt has reached the node of a target.
-        tenant: Tenant that it belongs to, or None.
+        workspace: Workspace that it belongs to, or None.
     """
 
     head: RequestHead
@@ -73,7 +73,7 @@
     rank: int = 0
     arrived_at: float = 0.0
     contacted: bool = False
-    tenant: Tenant | None = None
+    workspace: Workspace | None = None
 
     @property
     def may_run_again(self) -> bool:
@@ -195,7 +195,7 @@
         service=routed.service,
         soft_deadline=soft_deadline,
         rank=_rank_of(routed),
-        tenant=routed.tenant,
+        workspace=routed.workspace,
         arrived_at=arrived_at,
         id=_text(head.headers.get(header_names.request_id)),
         route=route,
@@ -209,11 +209,11 @@
 
 
 def _rank_of(routed: RoutedRequest) -> int:
-    """Returns the priority of a request; that of its tenant goes first."""
-    tenant = routed.tenant
-    if tenant is None or tenant.rank is None:
+    """Returns the priority of a request; that of its workspace goes first."""
+    workspace = routed.workspace
+    if workspace is None or workspace.rank is None:
         return routed.route.rank
-    return tenant.rank
+    return workspace.rank
 
 
 def _text(value: bytes | None) -> str:
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -1,7 +1,7 @@
 """Admission to the local target: slots and a priority queue.
 
 A request is admitted only if it is likely to finish in time. Otherwise it is
-refused at once, with a time after which to retry. Within a rank, tenants take
+refused at once, with a time after which to retry. Within a rank, workspaces take
 turns, and requests of the same turn are ordered by soft deadline.
 """
 
@@ -14,7 +14,7 @@
 from twisted.internet.defer import Deferred, fail, succeed
 
 from fulmarrudder.call.errors import SlotError
-from fulmarrudder.call.fairness import TenantTurns
+from fulmarrudder.call.fairness import WorkspaceTurns
 from fulmarrudder.call.rate import RateLimit
 from fulmarrudder.clock import Clock
 from fulmarrudder.placement import (
@@ -80,7 +80,7 @@
             over to another target that may have a free slot; 0 when there is
             none.
         body_bytes: Size of its body; 0 when it is unknown.
-        tenant: Name of the tenant, or None.
+        workspace: Name of the workspace, or None.
     """
 
     deadline: float
@@ -89,7 +89,7 @@
     route: str = ""
     spill_deadline: float = 0.0
     body_bytes: int = 0
-    tenant: bytes | None = None
+    workspace: bytes | None = None
 
     @property
     def cost_class(self) -> CostClass:
@@ -147,7 +147,7 @@
         service_time_by_route: The same, by route.
         rate: Limit on the requests a second that are granted slots.
         rate_timer: Grants slots once the rate allows it, or None.
-        turns: Turns of the tenants whose requests wait.
+        turns: Turns of the workspaces whose requests wait.
         is_granting: Whether free slots are being granted to queued requests.
         work: What the requests that run are expected to take.
         uses_work: Whether waits are estimated from `work` rather than from
@@ -165,7 +165,7 @@
         self.service_time_by_route: dict[str, float] = {}
         self.heap: list[tuple[int, bool, int, float, int, _Waiter]] = []
         self.sequence = itertools.count()
-        self.turns = TenantTurns()
+        self.turns = WorkspaceTurns()
         self.rate = RateLimit()
         self.rate_timer = None
         self.is_granting = False
@@ -194,14 +194,14 @@
         self.uses_work = True
         self.work.speed.tell(slowness, self.clock.seconds())
 
-    def expected_wait(self, rank: int, tenant: bytes | None = None) -> float:
+    def expected_wait(self, rank: int, workspace: bytes | None = None) -> float:
         """Returns the seconds that a request is expected to wait.
 
         Args:
             rank: Its rank.
-            tenant: Its tenant, or None.
+            workspace: Its workspace, or None.
         """
-        turn = self.turns.next_turn(tenant)
+        turn = self.turns.next_turn(workspace)
         ahead = [
             e[-1]
             for e in self.heap
@@ -322,7 +322,7 @@
             return "no time left"
         if self._is_full and giving_way is None:
             return "queue is full"
-        wait_s = self.expected_wait(request.rank, request.tenant)
+        wait_s = self.expected_wait(request.rank, request.workspace)
         service_time_s = self._service_time_of(request)
         average_s = self.average_service_time_s
         is_long = wait_s > MAX_SPILL_WAIT_FACTOR * average_s
@@ -353,15 +353,15 @@
             return waiter, "a more urgent request came"
         waiter = self._later_than(request)
         if waiter is not None:
-            return waiter, "its tenant has more requests here"
+            return waiter, "its workspace has more requests here"
         return None
 
     def _later_than(self, request: SlotRequest) -> "_Waiter | None":
-        """Returns a waiting request of a tenant that has more of them, or None.
+        """Returns a waiting request of a workspace that has more of them, or None.
 
         It is of the same rank, and two turns later at least.
         """
-        turn = self.turns.next_turn(request.tenant)
+        turn = self.turns.next_turn(request.workspace)
         later = max(
             (e for e in self.heap if e[-1].is_waiting and e[0] == request.rank),
             key=lambda e: e[2],
@@ -380,7 +380,7 @@
         """
         if not self.uses_work:
             return wait_s
-        turn = self.turns.next_turn(request.tenant)
+        turn = self.turns.next_turn(request.workspace)
         place = _place_of(request, turn, late=False)
         ahead = [
             e[-1] for e in self.heap if e[-1].is_waiting and e[:4] <= place
@@ -392,12 +392,12 @@
         """Returns the queued request that gives way in a full queue, or None.
 
         It is one of the least urgent rank; of these, one that will be late, and
-        then the one that costs most. None of another tenant gives way whose
+        then the one that costs most. None of another workspace gives way whose
         turn comes first.
         """
         if not self.uses_work:
             return None
-        own_turn = self.turns.next_turn(request.tenant)
+        own_turn = self.turns.next_turn(request.workspace)
         cost_s = self._service_time_of(request)
         latest, latest_key = None, (request.rank, False, cost_s)
         for rank, late, turn, *_, waiter in self.heap:
@@ -405,7 +405,10 @@
                 continue
             waiter_cost_s = self._service_time_of(waiter.request)
             if rank == request.rank and not late:
-                if turn < own_turn and waiter.request.tenant != request.tenant:
+                if (
+                    turn < own_turn
+                    and waiter.request.workspace != request.workspace
+                ):
                     continue
                 waiter_cost_s /= COSTLIER_FACTOR
             key = (rank, late, waiter_cost_s)
@@ -453,7 +456,7 @@
         waiter = _Waiter(
             granted=Deferred(lambda _: self._abandon(waiter)),
             request=request,
-            turn=self.turns.take(request.tenant),
+            turn=self.turns.take(request.workspace),
         )
         waiter.timer = self.clock.callLater(left_s, self._expire, waiter)
         self._push(waiter, late=False)
@@ -567,7 +570,7 @@
 
     def _abandon(self, waiter: _Waiter) -> None:
         if waiter.is_waiting:
-            self.turns.give_up(waiter.request.tenant, waiter.turn)
+            self.turns.give_up(waiter.request.workspace, waiter.turn)
             self._dequeue(waiter)
 
     def _expire(self, waiter: _Waiter) -> None:
--- a/src/fulmarrudder/distribution/gossip.py
+++ b/src/fulmarrudder/distribution/gossip.py
@@ -135,7 +135,7 @@
         topology: The fleet as this node sees it.
         reporter: Reports this node's evidence to its collector.
         collector: Adds up the evidence that is reported to this node.
-        quota_exchange: Tells other nodes what this one admits of tenants.
+        quota_exchange: Tells other nodes what this one admits of workspaces.
     """
 
     def __init__(
--- a/src/fulmarrudder/distribution/quota_exchange.py
+++ b/src/fulmarrudder/distribution/quota_exchange.py
@@ -1,9 +1,9 @@
-"""Filter: what nodes count of tenants' requests, to all other nodes.
+"""Filter: what nodes count of workspaces' requests, to all other nodes.
 
 A node reports to its collector, a gateway of its data centre. Collectors tell
 their sums to one gateway of each other data centre, and to the nodes of their
 own with what they were told from afar. Nothing is sent, and no timer runs,
-while no tenant has a limit.
+while no workspace has a limit.
 """
 
 import dataclasses
@@ -33,7 +33,7 @@
 
 
 class QuotaExchange:
-    """Sends and receives what nodes count of tenants' requests.
+    """Sends and receives what nodes count of workspaces' requests.
 
     Attributes:
         quotas: Decides on the requests of this node.
@@ -76,7 +76,7 @@
         return max(1.0, nodes / NODES_AT_FULL_PACE)
 
     def start(self) -> None:
-        """Begins to send once a tenant has a limit."""
+        """Begins to send once a workspace has a limit."""
         if self.quotas.has_limits and self.timer is None:
             self.timer = self.clock.callLater(0, self._run)
 
--- a/src/fulmarrudder/model/__init__.py
+++ b/src/fulmarrudder/model/__init__.py
@@ -5,8 +5,8 @@
     Limits,
     Route,
     Service,
-    Tenant,
     WeightedService,
+    Workspace,
 )
 from fulmarrudder.model.fact import (
     Brake,
@@ -77,7 +77,7 @@
     "Strike",
     "ConfigSummary",
     "Tally",
-    "Tenant",
+    "Workspace",
     "key_of",
     "precedence_of",
 ]
--- a/src/fulmarrudder/model/arrangement.py
+++ b/src/fulmarrudder/model/arrangement.py
@@ -26,12 +26,12 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class Tenant:
+class Workspace:
     """A customer whose requests are told by their keys.
 
     Attributes:
         name: Unique name, which targets are told.
-        keys: Its keys; a key belongs to one tenant.
+        keys: Its keys; a key belongs to one workspace.
         rank: Priority of its requests, in place of that of their routes; None
             for theirs.
         requests_per_s: Quota in requests a second of the whole fleet; 0 for no
@@ -95,7 +95,7 @@
         rank: Priority of the requests; 0 is the most urgent.
         latency_objective_ms: Latency objective, in milliseconds; 0 for none.
         attempts: Maximum number of targets that one request is sent to.
-        exempt: Whether requests need no key of a tenant.
+        exempt: Whether requests need no key of a workspace.
     """
 
     name: str
@@ -123,10 +123,10 @@
         services: All services.
         routes: All routes.
         limits: Limits on the requests of callers.
-        tenants: All tenants; None where requests need no key.
+        workspaces: All workspaces; None where requests need no key.
     """
 
     services: tuple[Service, ...] = ()
     routes: tuple[Route, ...] = ()
     limits: Limits = Limits()
-    tenants: tuple[Tenant, ...] | None = None
+    workspaces: tuple[Workspace, ...] | None = None
--- a/src/fulmarrudder/node/gauges.py
+++ b/src/fulmarrudder/node/gauges.py
@@ -4,8 +4,8 @@
 from fulmarrudder.observe import Sample, logs
 from fulmarrudder.quotas import FleetQuotas
 
-# Tenants that are named in metrics, those that are refused most.
-NAMED_TENANTS = 5
+# Workspaces that are named in metrics, those that are refused most.
+NAMED_WORKSPACES = 5
 
 
 def call_gauges(node) -> tuple[Sample, ...]:
@@ -70,9 +70,9 @@
     refused = (
         Sample(
             name="fulmarrudder_quota_refused",
-            labels=(("tenant", tenant),),
+            labels=(("workspace", workspace),),
             value=requests,
         )
-        for tenant, requests in quotas.refusals.most_common(NAMED_TENANTS)
+        for workspace, requests in quotas.refusals.most_common(NAMED_WORKSPACES)
     )
     return (silent, *refused)
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -69,7 +69,7 @@
 from fulmarrudder.quotas import FleetQuotas, QuotaBounds
 from fulmarrudder.quotas.gate import QuotaGate
 from fulmarrudder.state_machine import OPEN_PHASES, CurrentVersion, Move, State
-from fulmarrudder.tenants import Credentials, Identifier, KeyTable
+from fulmarrudder.workspaces import Credentials, Identifier, KeyTable
 
 # Share of the fleet's retry budget that nodes may use. The calls that a
 # retried request makes in turn count as retries as well.
@@ -107,7 +107,7 @@
         credentials: What is demanded of a node that may be behind.
         cold_excess: Requests that a cold target may get for each that its
             service names.
-        quota_bounds: How exactly the quotas of tenants are to be kept.
+        quota_bounds: How exactly the quotas of workspaces are to be kept.
     """
 
     node: str
@@ -145,9 +145,9 @@
         supervisor: Runs the node's tasks.
         entry: Pipeline of requests from callers.
         host: Pipeline of requests to the local target.
-        identifier: Finds the tenants of requests.
+        identifier: Finds the workspaces of requests.
         evacuations: Applies evacuations of data centres.
-        quotas: Decides which requests are beyond the quotas of tenants.
+        quotas: Decides which requests are beyond the quotas of workspaces.
         gossip: Links to other nodes.
         render_document: Puts the active configuration together as a document;
             None before the first one.
@@ -436,7 +436,7 @@
             source: Where it came from.
             change: How its routes differ from the active ones; None if that is
                 not known.
-            keys: Keys of its tenants; None where requests need none.
+            keys: Keys of its workspaces; None where requests need none.
         """
         if version <= self.version:
             return
@@ -465,8 +465,8 @@
         self.calls.limits = arrangement.limits
         self.host.cold.set_services(arrangement.services)
         now = self.clock.seconds()
-        self.host.has_tenants = arrangement.tenants is not None
-        self.quotas.set_tenants(arrangement.tenants, now)
+        self.host.has_workspaces = arrangement.workspaces is not None
+        self.quotas.set_workspaces(arrangement.workspaces, now)
         self.gossip.quota_exchange.start()
         logs.info(
             "in-force",
--- a/src/fulmarrudder/observe/metrics.py
+++ b/src/fulmarrudder/observe/metrics.py
@@ -128,8 +128,8 @@
     ),
     "fulmarrudder_quota_refused": _Family(
         Gauge,
-        "Requests refused here as beyond the quota of their tenant, for the "
-        "tenants that are refused most.",
+        "Requests refused here as beyond the quota of their workspace, for the "
+        "workspaces that are refused most.",
     ),
     "fulmarrudder_brakes": _Family(Gauge, "Brakes known."),
     "fulmarrudder_strikes": _Family(
--- a/src/fulmarrudder/operate/check.py
+++ b/src/fulmarrudder/operate/check.py
@@ -17,8 +17,8 @@
     Limits,
     Route,
     Service,
-    Tenant,
     WeightedService,
+    Workspace,
 )
 
 # What no accepted request target holds.
@@ -104,10 +104,10 @@
 def compare(before: Arrangement, after: Arrangement) -> tuple[Difference, ...]:
     """Returns what differs between two arrangements, entry by entry."""
     old, new = _entries_of(before), _entries_of(after)
-    if before.tenants is not None:
-        old["tenants"] = "required"
-    if after.tenants is not None:
-        new["tenants"] = "required"
+    if before.workspaces is not None:
+        old["workspaces"] = "required"
+    if after.workspaces is not None:
+        new["workspaces"] = "required"
     differences = []
     for subject in old.keys() | new.keys():
         if subject not in old:
@@ -131,7 +131,7 @@
     entries = (
         *arrangement.services,
         *arrangement.routes,
-        *(arrangement.tenants or ()),
+        *(arrangement.workspaces or ()),
         arrangement.limits,
     )
     return {_subject_of(entry): entry for entry in entries}
@@ -201,14 +201,14 @@
             subject=_subject_of(service),
             detail="no route leads to it",
         )
-    if arrangement.tenants == ():
+    if arrangement.workspaces == ():
         for route in arrangement.routes:
             if route.exempt:
                 continue
             yield Finding(
                 kind=Kind.UNREACHABLE,
                 subject=_subject_of(route),
-                detail="needs a key, and there is no tenant",
+                detail="needs a key, and there is no workspace",
             )
 
 
@@ -228,8 +228,8 @@
 
 
 @_subject_of.register
-def _(entry: Tenant) -> str:
-    return f"tenant {entry.name}"
+def _(entry: Workspace) -> str:
+    return f"workspace {entry.name}"
 
 
 @_subject_of.register
@@ -276,7 +276,7 @@
 
 
 @_faults_of.register
-def _(entry: Tenant) -> Iterable[tuple[Kind, str]]:
+def _(entry: Workspace) -> Iterable[tuple[Kind, str]]:
     if not entry.keys:
         yield Kind.UNREACHABLE, "has no key"
     if entry.requests_per_s and not entry.burst:
--- a/src/fulmarrudder/platform/config.py
+++ b/src/fulmarrudder/platform/config.py
@@ -10,13 +10,13 @@
 
 from fulmarrudder.call import RouteChange
 from fulmarrudder.distribution.entries import Entries, entries_of
-from fulmarrudder.model import Arrangement, Limits, Route, Service, Tenant
+from fulmarrudder.model import Arrangement, Limits, Route, Service, Workspace
 from fulmarrudder.platform.document import split_config
-from fulmarrudder.platform.entry import Part, Tenancy, parse_entries
+from fulmarrudder.platform.entry import Part, WorkspaceList, parse_entries
 from fulmarrudder.platform.errors import DocumentError
-from fulmarrudder.tenants import KeyTable, SharedKeyError
+from fulmarrudder.workspaces import KeyTable, SharedKeyError
 
-OtherPart = Service | Limits | Tenant | Tenancy
+OtherPart = Service | Limits | Workspace | WorkspaceList
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,7 +32,7 @@
         arrangement: The same as the product's own arrangement.
         change: How its routes differ from those of the configuration that it
             was built from.
-        keys: Its tenants by key; None where requests need no key.
+        keys: Its workspaces by key; None where requests need no key.
     """
 
     version: int = 0
@@ -99,7 +99,7 @@
                 services=_of_kind(Service, others.values()),
                 routes=tuple(matches.values()),
                 limits=_of_kind(Limits, others.values())[0],
-                tenants=_tenants_of(base, keys.ok),
+                workspaces=_workspaces_of(base, keys.ok),
             ),
             keys=keys.ok,
             change=RouteChange(
@@ -137,25 +137,25 @@
     entries: Entries,
     new_parts: Mapping[int, Part],
 ) -> Result[KeyTable | None, SharedKeyError]:
-    """Returns the tenants by key; None where requests need no key."""
-    added = _of_kind(Tenant, new_parts.values())
-    if not added and not _of_kind(Tenancy, others.values()):
+    """Returns the workspaces by key; None where requests need no key."""
+    added = _of_kind(Workspace, new_parts.values())
+    if not added and not _of_kind(WorkspaceList, others.values()):
         return Ok(None)
     removed_ids = base.entries.texts.keys() - entries.texts.keys()
     gone = (base.others.get(entry_id) for entry_id in removed_ids)
-    removed = _of_kind(Tenant, gone)
+    removed = _of_kind(Workspace, gone)
     known = base.keys or KeyTable()
     if not added and not removed:
         return Ok(known)
     return known.changed(removed=removed, added=added)
 
 
-def _tenants_of(
+def _workspaces_of(
     base: Config, keys: KeyTable | None
-) -> tuple[Tenant, ...] | None:
+) -> tuple[Workspace, ...] | None:
     if keys is None:
         return None
-    return base.arrangement.tenants if keys is base.keys else keys.tenants
+    return base.arrangement.workspaces if keys is base.keys else keys.workspaces
 
 
 def _of_kind(kind: type, parts: Iterable[Part]) -> tuple:
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -51,7 +51,7 @@
 from fulmarrudder.platform.tail import Tail
 from fulmarrudder.quotas import QuotaBounds
 from fulmarrudder.reactor import install_reactor
-from fulmarrudder.tenants import Credentials
+from fulmarrudder.workspaces import Credentials
 
 SETTINGS_VARIABLE = "FULMARRUDDER_BOOT"
 # Nodes share the platform's network, so the token is not secret: it only
--- a/src/fulmarrudder/platform/document.py
+++ b/src/fulmarrudder/platform/document.py
@@ -1,7 +1,7 @@
 """Splits the operator's configuration into entries, and puts it together again.
 
-An entry is a text that stands for itself: one for each route, service and tenant, one
-for the limits, and one that tells that there are tenants.
+An entry is a text that stands for itself: one for each route, service and workspace, one
+for the limits, and one that tells that there are workspaces.
 """
 
 import dataclasses
@@ -22,8 +22,8 @@
 from fulmarrudder.platform.errors import DocumentError
 
 ROUTE_PREFIX = '{"type":"route"'
-TENANT_PREFIX = '{"type":"tenant"'
-TENANCY_TEXT = '{"type":"tenancy"}'
+WORKSPACE_PREFIX = '{"type":"tenant"'
+WORKSPACE_LIST_TEXT = '{"type":"tenancy"}'
 
 
 class _RouteText(msgspec.Struct, tag="route"):
@@ -39,11 +39,11 @@
     pass
 
 
-class _TenantText(msgspec.Struct, tag="tenant"):
+class _WorkspaceText(msgspec.Struct, tag="tenant"):
     name: str
 
 
-class _TenancyText(msgspec.Struct, tag="tenancy"):
+class _WorkspaceListText(msgspec.Struct, tag="tenancy"):
     pass
 
 
@@ -57,7 +57,9 @@
     hosts: list[_Host] = msgspec.field(name="virtualHosts")
     services: list[msgspec.Raw]
     limits: msgspec.Raw
-    tenants: list[msgspec.Raw] | None = None
+    workspaces: list[msgspec.Raw] | None = msgspec.field(
+        name="tenants", default=None
+    )
 
 
 class _Head(msgspec.Struct):
@@ -67,7 +69,11 @@
 _decode_document = msgspec.json.Decoder(_Document, dec_hook=decode_value).decode
 _decode_head = msgspec.json.Decoder(_Head, dec_hook=decode_value).decode
 _decode_texts = msgspec.json.Decoder(
-    _RouteText | _ServiceText | _LimitsText | _TenantText | _TenancyText
+    _RouteText
+    | _ServiceText
+    | _LimitsText
+    | _WorkspaceText
+    | _WorkspaceListText
 ).decode
 
 
@@ -112,9 +118,9 @@
     routes = sum(len(host.paths) for host in document.hosts)
     if routes > sum(text.startswith(ROUTE_PREFIX) for text in unique):
         return Error(DocumentError("a route is listed twice"))
-    tenants = len(document.tenants or ())
-    if tenants > sum(text.startswith(TENANT_PREFIX) for text in unique):
-        return Error(DocumentError("a tenant is listed twice"))
+    workspaces = len(document.workspaces or ())
+    if workspaces > sum(text.startswith(WORKSPACE_PREFIX) for text in unique):
+        return Error(DocumentError("a workspace is listed twice"))
     return Ok(ConfigText(version=document.version, texts=tuple(unique)))
 
 
@@ -127,11 +133,11 @@
     for service in document.services:
         yield _tagged("service", str(service, "utf-8"))
     yield _tagged("limits", str(document.limits, "utf-8"))
-    if document.tenants is None:
+    if document.workspaces is None:
         return
-    yield TENANCY_TEXT
-    for tenant in document.tenants:
-        yield _tagged("tenant", str(tenant, "utf-8"))
+    yield WORKSPACE_LIST_TEXT
+    for workspace in document.workspaces:
+        yield _tagged("tenant", str(workspace, "utf-8"))
 
 
 def _tagged(kind: str, text: str) -> str:
@@ -160,8 +166,8 @@
             for hostname, paths in parts.hosts.items()
         ],
     }
-    if parts.tenants is not None:
-        document["tenants"] = parts.tenants
+    if parts.workspaces is not None:
+        document["tenants"] = parts.workspaces
     return msgspec.json.encode(document).decode()
 
 
@@ -173,7 +179,7 @@
         hosts: Routes by host.
         services: The services.
         limits: The limits.
-        tenants: The tenants; None if there is no list of them.
+        workspaces: The workspaces; None if there is no list of them.
     """
 
     hosts: dict[str, list[msgspec.Raw]] = dataclasses.field(
@@ -181,13 +187,13 @@
     )
     services: list[msgspec.Raw] = dataclasses.field(default_factory=list)
     limits: msgspec.Raw | None = None
-    tenants: list[msgspec.Raw] | None = None
+    workspaces: list[msgspec.Raw] | None = None
 
-    def list_tenants(self) -> list[msgspec.Raw]:
-        """Returns the list of the tenants, begun if there is none yet."""
-        if self.tenants is None:
-            self.tenants = []
-        return self.tenants
+    def list_workspaces(self) -> list[msgspec.Raw]:
+        """Returns the list of the workspaces, begun if there is none yet."""
+        if self.workspaces is None:
+            self.workspaces = []
+        return self.workspaces
 
 
 @functools.singledispatch
@@ -212,13 +218,13 @@
 
 
 @_collect.register
-def _(entry: _TenantText, text: str, parts: _DocumentParts) -> None:
-    parts.list_tenants().append(_untagged("tenant", text))
+def _(entry: _WorkspaceText, text: str, parts: _DocumentParts) -> None:
+    parts.list_workspaces().append(_untagged("tenant", text))
 
 
 @_collect.register
-def _(entry: _TenancyText, text: str, parts: _DocumentParts) -> None:
-    parts.list_tenants()
+def _(entry: _WorkspaceListText, text: str, parts: _DocumentParts) -> None:
+    parts.list_workspaces()
 
 
 def _untagged(kind: str, text: str) -> msgspec.Raw:
--- a/src/fulmarrudder/platform/entry.py
+++ b/src/fulmarrudder/platform/entry.py
@@ -12,8 +12,8 @@
     Limits,
     Route,
     Service,
-    Tenant,
     WeightedService,
+    Workspace,
 )
 from fulmarrudder.platform.decoding import (
     DECODE_ERRORS,
@@ -32,11 +32,11 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Tenancy:
-    """Tells that requests need a key, also where no tenant is listed."""
+class WorkspaceList:
+    """Tells that requests need a key, also where no workspace is listed."""
 
 
-Part = Route | Service | Limits | Tenant | Tenancy
+Part = Route | Service | Limits | Workspace | WorkspaceList
 
 
 class _ServiceEntry(msgspec.Struct, tag="service"):
@@ -93,7 +93,7 @@
     idle_timeout: PositiveMilliseconds = msgspec.field(name="idleTimeout")
 
 
-class _TenantEntry(msgspec.Struct, tag="tenant"):
+class _WorkspaceEntry(msgspec.Struct, tag="tenant"):
     name: Name
     keys: list[Key] = msgspec.field(name="apiKeys")
     rank: Natural | None = msgspec.field(name="priority", default=None)
@@ -101,7 +101,7 @@
     burst: NonNegative = msgspec.field(name="burstSize", default=0.0)
 
 
-class _TenancyEntry(msgspec.Struct, tag="tenancy"):
+class _WorkspaceListEntry(msgspec.Struct, tag="tenancy"):
     pass
 
 
@@ -109,11 +109,15 @@
     "route": _RouteEntry,
     "service": _ServiceEntry,
     "limits": _LimitsEntry,
-    "tenant": _TenantEntry,
-    "tenancy": _TenancyEntry,
+    "tenant": _WorkspaceEntry,
+    "tenancy": _WorkspaceListEntry,
 }
 _decode_entry = msgspec.json.Decoder(
-    _RouteEntry | _ServiceEntry | _LimitsEntry | _TenantEntry | _TenancyEntry,
+    _RouteEntry
+    | _ServiceEntry
+    | _LimitsEntry
+    | _WorkspaceEntry
+    | _WorkspaceListEntry,
     dec_hook=decode_value,
 ).decode
 
@@ -152,8 +156,8 @@
 
 
 @_part_of.register
-def _(entry: _TenantEntry) -> Part:
-    return Tenant(
+def _(entry: _WorkspaceEntry) -> Part:
+    return Workspace(
         name=entry.name,
         keys=tuple(dict.fromkeys(entry.keys)),
         rank=entry.rank,
@@ -163,8 +167,8 @@
 
 
 @_part_of.register
-def _(entry: _TenancyEntry) -> Part:
-    return Tenancy()
+def _(entry: _WorkspaceListEntry) -> Part:
+    return WorkspaceList()
 
 
 @_part_of.register
--- a/src/fulmarrudder/platform/header_names.py
+++ b/src/fulmarrudder/platform/header_names.py
@@ -14,6 +14,6 @@
     requests_per_s=b"server-limit",
     leaving=b"server-leaving",
     api_key=b"x-api-key",
-    tenant=b"x-tenant-id",
+    workspace=b"x-tenant-id",
     idempotency_key=b"",
 )
--- a/src/fulmarrudder/platform/settings.py
+++ b/src/fulmarrudder/platform/settings.py
@@ -111,8 +111,8 @@
         revoke_s: Seconds without a confirmation after which that is so.
         cold_excess: Requests that a cold target may get for each that its
             service names.
-        quota_window_s: Seconds over which a tenant's requests are counted.
-        quota_excess: Part by which a tenant may exceed its quota in that time.
+        quota_window_s: Seconds over which a workspace's requests are counted.
+        quota_excess: Part by which a workspace may exceed its quota in that time.
         quota_slack: Requests by which it may exceed its quota in that time.
     """
 
--- a/src/fulmarrudder/quotas/__init__.py
+++ b/src/fulmarrudder/quotas/__init__.py
@@ -1,9 +1,9 @@
-"""Pipeline from a request's tenant to its admission, and back to the fleet.
+"""Pipeline from a request's workspace to its admission, and back to the fleet.
 
 The filters, in order:
 
-* `admission`: a tenant's request - admitted, or refused with 429.
-* `bucket`: tokens of a tenant in the fleet, as one node sees them.
+* `admission`: a workspace's request - admitted, or refused with 429.
+* `bucket`: tokens of a workspace in the fleet, as one node sees them.
 * `collector`: reports of nodes - sums that all nodes are told.
 """
 
--- a/src/fulmarrudder/quotas/admission.py
+++ b/src/fulmarrudder/quotas/admission.py
@@ -1,17 +1,17 @@
-"""Filter: requests of tenants that are within their limits in the fleet."""
+"""Filter: requests of workspaces that are within their limits in the fleet."""
 
 import collections
 from collections.abc import Callable, Iterable
 
 from fulmarrudder.call.message import Refusal, RefusalReason
 from fulmarrudder.call.refusals import not_run
-from fulmarrudder.model import Tenant
-from fulmarrudder.quotas.bucket import TenantBucket
+from fulmarrudder.model import Workspace
+from fulmarrudder.quotas.bucket import WorkspaceBucket
 from fulmarrudder.quotas.counts import (
     Counts,
     counts_of,
     flat_counts,
-    tenant_id,
+    workspace_id,
 )
 from fulmarrudder.quotas.fleet import FleetView
 from fulmarrudder.quotas.limits import QuotaBounds, limit_of
@@ -21,7 +21,7 @@
 MAX_RETRY_AFTER_S = 5.0
 # Reports that are kept until the collector's sums include them.
 MAX_PENDING_REPORTS = 64
-# Tokens of a node that starts: enough for a tenant whose next token takes long.
+# Tokens of a node that starts: enough for a workspace whose next token takes long.
 START_TOKENS = 1.0
 TOO_MANY_STATUS = 429
 # Part of the slack below which requests that are unheard do not press.
@@ -34,21 +34,21 @@
 
 
 class FleetQuotas:
-    """Decides for one node which requests of tenants exceed their limits.
+    """Decides for one node which requests of workspaces exceed their limits.
 
     Attributes:
         node: Id of the node.
         bounds: What the deployment demands; replaced with the settings.
         view: Which parts of the fleet are heard.
-        buckets: Buckets of the tenants that have a limit, by name.
+        buckets: Buckets of the workspaces that have a limit, by name.
         by_id: The same, by the number that links name them by.
         changed: Buckets with counts that are not reported yet.
         number: Number of the latest report.
         pending: Requests admitted by report that the collector may not have
             included yet.
-        refusals: Requests refused here, by tenant.
+        refusals: Requests refused here, by workspace.
         on_pressing: Called when a report should not wait.
-        is_filled: Whether a version is in force, so that tenants of later ones
+        is_filled: Whether a version is in force, so that workspaces of later ones
             start with tokens.
     """
 
@@ -62,9 +62,9 @@
         self.node = node
         self.bounds = bounds
         self.view = FleetView(data_centre, now)
-        self.buckets: dict[str, TenantBucket] = {}
-        self.by_id: dict[int, tuple[TenantBucket, ...]] = {}
-        self.changed: dict[str, TenantBucket] = {}
+        self.buckets: dict[str, WorkspaceBucket] = {}
+        self.by_id: dict[int, tuple[WorkspaceBucket, ...]] = {}
+        self.changed: dict[str, WorkspaceBucket] = {}
         self.number = 0
         self.pending: collections.OrderedDict[int, Counts] = (
             collections.OrderedDict()
@@ -75,26 +75,28 @@
 
     @property
     def has_limits(self) -> bool:
-        """Whether any tenant has a limit."""
+        """Whether any workspace has a limit."""
         return bool(self.buckets)
 
-    def set_tenants(self, tenants: Iterable[Tenant] | None, now: float) -> None:
+    def set_workspaces(
+        self, workspaces: Iterable[Workspace] | None, now: float
+    ) -> None:
         """Applies the limits of a configuration version.
 
-        Tenants of the first version start with a token only, as the node may
+        Workspaces of the first version start with a token only, as the node may
         have just restarted.
 
         Args:
-            tenants: All tenants; None where there are none.
+            workspaces: All workspaces; None where there are none.
             now: Clock seconds.
         """
         buckets = {}
-        for tenant in tenants or ():
-            bucket = self.buckets.get(tenant.name)
-            if bucket is None or bucket.tenant is not tenant:
-                bucket = self._bucket_of(tenant, bucket, now)
+        for workspace in workspaces or ():
+            bucket = self.buckets.get(workspace.name)
+            if bucket is None or bucket.workspace is not workspace:
+                bucket = self._bucket_of(workspace, bucket, now)
             if bucket is not None:
-                buckets[tenant.name] = bucket
+                buckets[workspace.name] = bucket
         self.is_filled = True
         if buckets.keys() != self.buckets.keys():
             self._index(buckets)
@@ -111,40 +113,40 @@
             return
         self.bounds = bounds
         for bucket in self.buckets.values():
-            self._bucket_of(bucket.tenant, bucket, now)
+            self._bucket_of(bucket.workspace, bucket, now)
 
-    def admit(self, tenant: Tenant, now: float) -> Refusal | None:
+    def admit(self, workspace: Workspace, now: float) -> Refusal | None:
         """Takes a token for a request.
 
         Args:
-            tenant: Tenant of the request.
+            workspace: Workspace of the request.
             now: Clock seconds.
 
         Returns:
             None if the request is within the limit, else its refusal.
         """
-        bucket = self.buckets.get(tenant.name)
+        bucket = self.buckets.get(workspace.name)
         if bucket is None:
             return None
-        self.changed[tenant.name] = bucket
+        self.changed[workspace.name] = bucket
         if bucket.take(now):
             if self._is_pressing(bucket, now):
                 self.on_pressing()
             return None
-        self.refusals[tenant.name] += 1
+        self.refusals[workspace.name] += 1
         wait_s = max(MIN_RETRY_AFTER_S, bucket.wait_s(now))
         return not_run(
             RefusalReason.QUOTA,
-            "the tenant has used up its limit",
+            "the workspace has used up its limit",
             TOO_MANY_STATUS,
             retry_after_s=min(MAX_RETRY_AFTER_S, wait_s),
         )
 
-    def refund(self, tenant: Tenant) -> None:
+    def refund(self, workspace: Workspace) -> None:
         """Returns the token of a request that reached no target."""
-        bucket = self.buckets.get(tenant.name)
+        bucket = self.buckets.get(workspace.name)
         if bucket is not None:
-            self.changed[tenant.name] = bucket
+            self.changed[workspace.name] = bucket
             bucket.give_back()
 
     def beat(self, now: float) -> None:
@@ -164,7 +166,7 @@
         pressing = False
         for bucket in self.changed.values():
             if not is_late:
-                counts[tenant_id(bucket.name)] = (
+                counts[workspace_id(bucket.name)] = (
                     bucket.admitted,
                     bucket.refused,
                 )
@@ -211,16 +213,16 @@
             )
 
     def _bucket_of(
-        self, tenant: Tenant, bucket: TenantBucket | None, now: float
-    ) -> TenantBucket | None:
-        """Returns the bucket of a tenant, or None if it has no limit."""
-        limit = limit_of(tenant, self.bounds)
+        self, workspace: Workspace, bucket: WorkspaceBucket | None, now: float
+    ) -> WorkspaceBucket | None:
+        """Returns the bucket of a workspace, or None if it has no limit."""
+        limit = limit_of(workspace, self.bounds)
         if limit is None:
             return None
         if bucket is None:
             tokens = limit.capacity if self.is_filled else START_TOKENS
-            return TenantBucket(tenant, limit, self.view, now, tokens)
-        bucket.set_limit(tenant, limit, now)
+            return WorkspaceBucket(workspace, limit, self.view, now, tokens)
+        bucket.set_limit(workspace, limit, now)
         return bucket
 
     def _apply(
@@ -243,15 +245,15 @@
         for number in tuple(self.pending):
             if number > latest:
                 break
-            for tenant, counts in self.pending.pop(number).items():
-                before = own.get(tenant, (0, 0))
-                own[tenant] = (before[0] + counts[0], before[1] + counts[1])
+            for workspace, counts in self.pending.pop(number).items():
+                before = own.get(workspace, (0, 0))
+                own[workspace] = (before[0] + counts[0], before[1] + counts[1])
         return own
 
-    def _is_pressing(self, bucket: TenantBucket, now: float) -> bool:
-        """Returns whether other nodes should soon hear of a tenant's requests.
+    def _is_pressing(self, bucket: WorkspaceBucket, now: float) -> bool:
+        """Returns whether other nodes should soon hear of a workspace's requests.
 
-        What a tenant of little demand asks for unheard is within the slack.
+        What a workspace of little demand asks for unheard is within the slack.
         """
         if bucket.admitted <= 0:
             return False
@@ -260,9 +262,9 @@
             return False
         return bucket.is_low or bucket.admitted >= bucket.pace_depth
 
-    def _index(self, buckets: dict[str, TenantBucket]) -> None:
-        by_id: dict[int, tuple[TenantBucket, ...]] = {}
+    def _index(self, buckets: dict[str, WorkspaceBucket]) -> None:
+        by_id: dict[int, tuple[WorkspaceBucket, ...]] = {}
         for bucket in buckets.values():
-            number = tenant_id(bucket.name)
+            number = workspace_id(bucket.name)
             by_id[number] = (*by_id.get(number, ()), bucket)
         self.by_id = by_id
--- a/src/fulmarrudder/quotas/bucket.py
+++ b/src/fulmarrudder/quotas/bucket.py
@@ -1,7 +1,7 @@
-"""The fleet's bucket of one tenant, as one node sees it.
+"""The fleet's bucket of one workspace, as one node sees it.
 
 Two gates admit a request. The bucket stands for the whole fleet: it is filled by
-the tenant's rate, and the requests of other nodes take tokens when the node is
+the workspace's rate, and the requests of other nodes take tokens when the node is
 told of them. The pace is the node's own part of the rate; it bounds what all
 nodes admit before they hear of each other.
 """
@@ -9,7 +9,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from fulmarrudder.model import Tenant
+from fulmarrudder.model import Workspace
 from fulmarrudder.quotas.demand import LONG_AVERAGED_S, Demand
 from fulmarrudder.quotas.fleet import FleetView
 from fulmarrudder.quotas.limits import Limit
@@ -30,7 +30,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Shares:
-    """Demand of a tenant in the whole fleet at one moment.
+    """Demand of a workspace in the whole fleet at one moment.
 
     Attributes:
         at: The moment in clock seconds.
@@ -45,11 +45,11 @@
     by_data_centre: Mapping[str, float]
 
 
-class TenantBucket:
-    """Tokens of one tenant.
+class WorkspaceBucket:
+    """Tokens of one workspace.
 
     Attributes:
-        tenant: The tenant.
+        workspace: The workspace.
         limit: Its limit.
         tokens: Tokens of the fleet; negative after requests that were not
             heard of in time.
@@ -87,20 +87,20 @@
         "pace_tokens",
         "paced_at",
         "refused",
-        "tenant",
+        "workspace",
         "tokens",
         "view",
     )
 
     def __init__(
         self,
-        tenant: Tenant,
+        workspace: Workspace,
         limit: Limit,
         view: FleetView,
         now: float,
         tokens: float = 0.0,
     ):
-        self.tenant = tenant
+        self.workspace = workspace
         self.limit = limit
         self.view = view
         self.tokens = tokens
@@ -121,8 +121,8 @@
 
     @property
     def name(self) -> str:
-        """Name of the tenant."""
-        return self.tenant.name
+        """Name of the workspace."""
+        return self.workspace.name
 
     @property
     def capacity(self) -> float:
@@ -147,9 +147,9 @@
             MIN_PACE_DEPTH, PACE_DEPTH_S * self.own_share * self.limit.per_s
         )
 
-    def set_limit(self, tenant: Tenant, limit: Limit, now: float) -> None:
+    def set_limit(self, workspace: Workspace, limit: Limit, now: float) -> None:
         """Replaces the limit; a lower one takes tokens away at once."""
-        self.tenant = tenant
+        self.workspace = workspace
         if limit == self.limit:
             return
         self.fill(now)
--- a/src/fulmarrudder/quotas/gate.py
+++ b/src/fulmarrudder/quotas/gate.py
@@ -1,4 +1,4 @@
-"""Filter: calls of tenants that are within their limits; the others refused."""
+"""Filter: calls of workspaces that are within their limits; the others refused."""
 
 from fulmarrudder.call.message import Refusal
 from fulmarrudder.call.plan import Call
@@ -23,17 +23,17 @@
         self.events = events
 
     def admit(self, call: Call) -> Refusal | None:
-        """Returns None for a call within its tenant's limit, else a refusal."""
-        if call.tenant is None:
+        """Returns None for a call within its workspace's limit, else a refusal."""
+        if call.workspace is None:
             return None
         now = self.clock.seconds()
-        refusal = self.quotas.admit(call.tenant, now)
+        refusal = self.quotas.admit(call.workspace, now)
         if refusal is not None and self.events.allow(now, "quota-exceeded"):
-            bucket = self.quotas.buckets[call.tenant.name]
+            bucket = self.quotas.buckets[call.workspace.name]
             self.events.write(
                 "quota-exceeded",
                 request=call.id,
-                tenant=call.tenant.name,
+                workspace=call.workspace.name,
                 per_s=bucket.limit.per_s,
                 tokens=round(bucket.tokens, 1),
                 pace_tokens=round(bucket.pace_tokens, 1),
@@ -46,5 +46,5 @@
 
     def refund(self, call: Call) -> None:
         """Gives back the token of a call that reached no target."""
-        if call.tenant is not None:
-            self.quotas.refund(call.tenant)
+        if call.workspace is not None:
+            self.quotas.refund(call.workspace)
--- a/src/fulmarrudder/quotas/limits.py
+++ b/src/fulmarrudder/quotas/limits.py
@@ -1,8 +1,8 @@
-"""The limit of a tenant, and how much of it the fleet's bucket holds."""
+"""The limit of a workspace, and how much of it the fleet's bucket holds."""
 
 import dataclasses
 
-from fulmarrudder.model import Tenant
+from fulmarrudder.model import Workspace
 
 # Least part of what a window allows beyond its rate that the bucket holds. The
 # rest is left for requests that other nodes have admitted without being heard.
@@ -16,8 +16,8 @@
     """How exactly a deployment demands that quotas are kept.
 
     Attributes:
-        window_s: Seconds over which the requests of a tenant are counted.
-        excess: Part by which a tenant may exceed its limit in a window.
+        window_s: Seconds over which the requests of a workspace are counted.
+        excess: Part by which a workspace may exceed its limit in a window.
         slack: Requests by which it may exceed its limit in a window.
     """
 
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Limit:
-    """The bucket of one tenant.
+    """The bucket of one workspace.
 
     Attributes:
         per_s: Tokens that it gains a second.
@@ -39,13 +39,13 @@
     capacity: float
 
 
-def limit_of(tenant: Tenant, bounds: QuotaBounds) -> Limit | None:
-    """Returns the bucket of a tenant, or None if it has no limit."""
-    per_s = tenant.requests_per_s
+def limit_of(workspace: Workspace, bounds: QuotaBounds) -> Limit | None:
+    """Returns the bucket of a workspace, or None if it has no limit."""
+    per_s = workspace.requests_per_s
     if not per_s:
         return None
     in_window = per_s * bounds.window_s
-    room = (in_window + tenant.burst) * (1 + bounds.excess)
+    room = (in_window + workspace.burst) * (1 + bounds.excess)
     room += bounds.slack - in_window
     unheard = UNHEARD_S * per_s + bounds.slack
     return Limit(
--- a/src/fulmarrudder/quotas/message.py
+++ b/src/fulmarrudder/quotas/message.py
@@ -1,4 +1,4 @@
-"""What nodes tell each other of the requests of tenants."""
+"""What nodes tell each other of the requests of workspaces."""
 
 import dataclasses
 from typing import Any
@@ -15,8 +15,8 @@
 
     Attributes:
         number: Number of the report, which rises by one each time.
-        counts: Tenant id, requests admitted and requests refused, of each
-            tenant that has any; admitted ones are negative after refunds.
+        counts: Workspace id, requests admitted and requests refused, of each
+            workspace that has any; admitted ones are negative after refunds.
         pressing: Whether the bucket of one of them is nearly used up.
         is_last: Whether the node admits nothing more, as it stops.
     """
@@ -50,7 +50,7 @@
         sums: One for each data centre that it has heard of since.
         included: Node and number of the latest report of each node whose
             counts the sum of the sender's data centre includes.
-        pressing: Whether the bucket of one of the tenants is nearly used up.
+        pressing: Whether the bucket of one of the workspaces is nearly used up.
     """
 
     sums: tuple[QuotaSum, ...] = _field("s")
--- a/src/fulmarrudder/tenants/identify.py
+++ b/src/fulmarrudder/workspaces/identify.py
@@ -1,7 +1,7 @@
-"""Filter: from a routed request to its tenant.
+"""Filter: from a routed request to its workspace.
 
 The key ends here: what follows, other nodes and targets included, gets the
-tenant's name only.
+workspace's name only.
 """
 
 import dataclasses
@@ -13,8 +13,8 @@
 from fulmarrudder.call.refusals import UNCONFIRMED_KEYS, UNKNOWN_KEY
 from fulmarrudder.call.route import RoutedRequest
 from fulmarrudder.clock import Clock
-from fulmarrudder.model import Tenant
-from fulmarrudder.tenants.keys import KeyTable
+from fulmarrudder.model import Workspace
+from fulmarrudder.workspaces.keys import KeyTable
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -32,11 +32,11 @@
 
 
 class Identifier:
-    """Finds the tenants of requests.
+    """Finds the workspaces of requests.
 
     Attributes:
-        keys: The tenants by key; None where requests need no key.
-        header_names: Names of the fields of keys and tenants.
+        keys: The workspaces by key; None where requests need no key.
+        header_names: Names of the fields of keys and workspaces.
         freshness: How current the configuration is.
         credentials: What the deployment demands; replaced with the settings.
     """
@@ -56,7 +56,7 @@
         self.keys: KeyTable | None = None
 
     def identify(self, routed: RoutedRequest) -> RoutedRequest | Refusal:
-        """Returns a request with its tenant, and without its key.
+        """Returns a request with its workspace, and without its key.
 
         Args:
             routed: The request and its route.
@@ -67,17 +67,21 @@
         """
         if self.keys is None:
             return routed
-        tenant = self._tenant_of(routed.head, self.keys)
+        workspace = self._workspace_of(routed.head, self.keys)
         if not routed.route.exempt:
             if self._is_unconfirmed():
                 return UNCONFIRMED_KEYS
-            if tenant is None:
+            if workspace is None:
                 return UNKNOWN_KEY
         return dataclasses.replace(
-            routed, head=self._with_tenant(routed.head, tenant), tenant=tenant
+            routed,
+            head=self._with_workspace(routed.head, workspace),
+            workspace=workspace,
         )
 
-    def _tenant_of(self, head: RequestHead, keys: KeyTable) -> Tenant | None:
+    def _workspace_of(
+        self, head: RequestHead, keys: KeyTable
+    ) -> Workspace | None:
         if head.headers.count(self.header_names.api_key) != 1:
             return None
         key = head.headers.get(self.header_names.api_key)
@@ -89,12 +93,12 @@
         age_s = self.clock.seconds() - self.freshness.confirmed_at
         return age_s > self.credentials.unconfirmed_s
 
-    def _with_tenant(
-        self, head: RequestHead, tenant: Tenant | None
+    def _with_workspace(
+        self, head: RequestHead, workspace: Workspace | None
     ) -> RequestHead:
         names = self.header_names
         added: tuple[Field, ...] = ()
-        if tenant is not None:
-            added = ((names.tenant, tenant.name.encode()),)
-        headers = head.headers.replace((names.api_key, names.tenant), *added)
+        if workspace is not None:
+            added = ((names.workspace, workspace.name.encode()),)
+        headers = head.headers.replace((names.api_key, names.workspace), *added)
         return head.with_headers(headers)
--- a/tests/call/test_fairness.py
+++ b/tests/call/test_fairness.py
@@ -1,4 +1,4 @@
-"""A tenant that sends many requests at once waits behind its own."""
+"""A workspace that sends many requests at once waits behind its own."""
 
 import pytest
 from twisted.internet.task import Clock
@@ -16,9 +16,11 @@
     return slots
 
 
-def ask(slots, tenant, **fields):
-    name = None if tenant is None else tenant.encode()
-    return slots.acquire(9.0, SlotRequest(deadline=9.0, tenant=name, **fields))
+def ask(slots, workspace, **fields):
+    name = None if workspace is None else workspace.encode()
+    return slots.acquire(
+        9.0, SlotRequest(deadline=9.0, workspace=name, **fields)
+    )
 
 
 def order_served(slots, waiting):
@@ -32,7 +34,7 @@
 
 
 @pytest.mark.parametrize(
-    ("tenants", "served"),
+    ("workspaces", "served"),
     [
         ("aaab", "abaa"),
         ("aabb", "abab"),
@@ -40,10 +42,10 @@
         ("----", "----"),
     ],
 )
-def test_tenants_take_turns(tenants, served):
+def test_workspaces_take_turns(workspaces, served):
     slots = busy_slots()
     waiting = [
-        (name, ask(slots, None if name == "-" else name)) for name in tenants
+        (name, ask(slots, None if name == "-" else name)) for name in workspaces
     ]
     assert order_served(slots, waiting) == served
 
@@ -55,7 +57,7 @@
     assert order_served(slots, waiting) == "hhhl"
 
 
-def test_tenant_that_joins_later_is_not_behind_all_that_wait():
+def test_workspace_that_joins_later_is_not_behind_all_that_wait():
     slots = busy_slots()
     waiting = [("a", ask(slots, "a")) for _ in range(3)]
     slots.release()
@@ -64,7 +66,7 @@
     assert order_served(slots, waiting[2:]) == "abb"
 
 
-def test_hot_tenant_that_fills_a_queue_makes_room_for_others():
+def test_hot_workspace_that_fills_a_queue_makes_room_for_others():
     slots = busy_slots()
     hot = [ask(slots, "a") for _ in range(MAX_QUEUE_PER_SLOT)]
     other = ask(slots, "b")
@@ -94,7 +96,7 @@
     assert not other.called
 
 
-def test_requests_that_leave_do_not_count_against_their_tenant():
+def test_requests_that_leave_do_not_count_against_their_workspace():
     slots = busy_slots()
     left = [ask(slots, "a") for _ in range(3)]
     last = ask(slots, "b")
--- a/tests/distribution/test_quota_exchange.py
+++ b/tests/distribution/test_quota_exchange.py
@@ -1,15 +1,15 @@
-"""Nodes tell each other of tenants' requests, where tenants have limits."""
+"""Nodes tell each other of workspaces' requests, where workspaces have limits."""
 
 import dataclasses
 
 import pytest
 
-from fulmarrudder.model import Condition, Tenant
+from fulmarrudder.model import Condition, Workspace
 from fulmarrudder.quotas import QuotaReport, QuotaUse
 from tests.distribution.test_gossip import presence_of, running_fleet
 
-ACME = Tenant(name="acme", keys=(), requests_per_s=50.0, burst=50.0)
-FREE = Tenant(name="free", keys=())
+ACME = Workspace(name="acme", keys=(), requests_per_s=50.0, burst=50.0)
+FREE = Workspace(name="free", keys=())
 ASKING = "a-05"
 
 
@@ -17,11 +17,11 @@
     return net.nodes[name].mesh.quota_exchange.quotas
 
 
-def limit(net, *tenants):
-    """Puts a version with some tenants in force on all nodes."""
+def limit(net, *workspaces):
+    """Puts a version with some workspaces in force on all nodes."""
     for node in net.nodes.values():
         exchange = node.mesh.quota_exchange
-        exchange.quotas.set_tenants(tenants, net.clock.seconds())
+        exchange.quotas.set_workspaces(workspaces, net.clock.seconds())
         exchange.start()
 
 
@@ -38,12 +38,14 @@
     return sent
 
 
-@pytest.mark.parametrize("tenants", [None, (), (FREE,)])
-def test_nothing_is_sent_where_no_tenant_has_a_limit(monkeypatch, tenants):
+@pytest.mark.parametrize("workspaces", [None, (), (FREE,)])
+def test_nothing_is_sent_where_no_workspace_has_a_limit(
+    monkeypatch, workspaces
+):
     net = running_fleet(size=4)
     for node in net.nodes.values():
         exchange = node.mesh.quota_exchange
-        exchange.quotas.set_tenants(tenants, net.clock.seconds())
+        exchange.quotas.set_workspaces(workspaces, net.clock.seconds())
         exchange.start()
         assert exchange.timer is None
     sent = record_messages(net, monkeypatch)
--- a/tests/operate/test_check.py
+++ b/tests/operate/test_check.py
@@ -12,8 +12,8 @@
     Limits,
     Route,
     Service,
-    Tenant,
     WeightedService,
+    Workspace,
 )
 from fulmarrudder.operate.check import (
     Change,
@@ -25,8 +25,8 @@
 
 CAJA = Service(name="caja", target_versions=("1",), initial="1")
 PAY = Route(name="pay", host="a", prefix="/pay/", service="caja")
-ACME = Tenant(name="acme", keys=("k1",), requests_per_s=5.0, burst=5.0)
-SOUND = Arrangement(services=(CAJA,), routes=(PAY,), tenants=(ACME,))
+ACME = Workspace(name="acme", keys=("k1",), requests_per_s=5.0, burst=5.0)
+SOUND = Arrangement(services=(CAJA,), routes=(PAY,), workspaces=(ACME,))
 SPLIT = (
     WeightedService(service="caja", weight=1),
     WeightedService(service="quiet", weight=0),
@@ -39,9 +39,9 @@
     )
 
 
-def with_tenant(**fields):
+def with_workspace(**fields):
     return dataclasses.replace(
-        SOUND, tenants=(dataclasses.replace(ACME, **fields),)
+        SOUND, workspaces=(dataclasses.replace(ACME, **fields),)
     )
 
 
@@ -70,12 +70,16 @@
             "route pay",
         ),
         (with_route(attempts=9), Kind.CONTRADICTION, "route pay"),
-        (with_tenant(keys=()), Kind.UNREACHABLE, "tenant acme"),
-        (with_tenant(burst=0.0), Kind.CONTRADICTION, "tenant acme"),
-        (with_tenant(requests_per_s=0.0), Kind.CONTRADICTION, "tenant acme"),
+        (with_workspace(keys=()), Kind.UNREACHABLE, "workspace acme"),
+        (with_workspace(burst=0.0), Kind.CONTRADICTION, "workspace acme"),
+        (
+            with_workspace(requests_per_s=0.0),
+            Kind.CONTRADICTION,
+            "workspace acme",
+        ),
         (with_service(cold_per_s=3.0), Kind.CONTRADICTION, "service caja"),
         (
-            dataclasses.replace(SOUND, tenants=()),
+            dataclasses.replace(SOUND, workspaces=()),
             Kind.UNREACHABLE,
             "route pay",
         ),
@@ -141,21 +145,21 @@
             ),
         ),
         (
-            with_tenant(keys=("k2", "k3")),
+            with_workspace(keys=("k2", "k3")),
             (
                 Difference(
                     change=Change.CHANGED,
-                    subject="tenant acme",
+                    subject="workspace acme",
                     detail="keys: 2 added, 1 removed",
                 ),
             ),
         ),
         (
-            dataclasses.replace(SOUND, routes=(), tenants=None),
+            dataclasses.replace(SOUND, routes=(), workspaces=None),
             (
                 Difference(change=Change.REMOVED, subject="route pay"),
-                Difference(change=Change.REMOVED, subject="tenant acme"),
-                Difference(change=Change.REMOVED, subject="tenants"),
+                Difference(change=Change.REMOVED, subject="workspace acme"),
+                Difference(change=Change.REMOVED, subject="workspaces"),
             ),
         ),
     ],
--- a/tests/platform/test_config.py
+++ b/tests/platform/test_config.py
@@ -147,62 +147,64 @@
     assert parse_entries([text]).is_error()
 
 
-TENANTS = [
+WORKSPACES = [
     {"name": "acme", "apiKeys": ["k1", "k2"], "priority": 1, "ratePerS": 2.5},
     {"name": "beta", "apiKeys": ["k3"], "burstSize": 7},
 ]
 
 
-def with_tenants(*tenants):
-    return json.dumps(CONFIG | {"tenants": list(tenants)}).encode()
+def with_workspaces(*workspaces):
+    return json.dumps(CONFIG | {"tenants": list(workspaces)}).encode()
 
 
-def test_tenants_are_read_and_put_together_again():
-    data = with_tenants(*TENANTS)
-    acme, beta = parse_config(data).ok[1].tenants
+def test_workspaces_are_read_and_put_together_again():
+    data = with_workspaces(*WORKSPACES)
+    acme, beta = parse_config(data).ok[1].workspaces
     assert (acme.keys, acme.rank, acme.requests_per_s) == (("k1", "k2"), 1, 2.5)
     assert (beta.keys, beta.rank, beta.burst) == (("k3",), None, 7.0)
     entries = entries_of(split_config(data).ok.texts, Entries())
-    assert json.loads(join_config(12, entries))["tenants"] == TENANTS
+    assert json.loads(join_config(12, entries))["tenants"] == WORKSPACES
 
 
-@pytest.mark.parametrize(("tenants", "expected"), [(None, None), ([], ())])
-def test_a_list_without_tenants_is_not_the_same_as_no_list(tenants, expected):
-    config = CONFIG if tenants is None else CONFIG | {"tenants": tenants}
+@pytest.mark.parametrize(("workspaces", "expected"), [(None, None), ([], ())])
+def test_a_list_without_workspaces_is_not_the_same_as_no_list(
+    workspaces, expected
+):
+    config = CONFIG if workspaces is None else CONFIG | {"tenants": workspaces}
     data = json.dumps(config).encode()
-    assert parse_config(data).ok[1].tenants == expected
+    assert parse_config(data).ok[1].workspaces == expected
     entries = entries_of(split_config(data).ok.texts, Entries())
-    assert json.loads(join_config(12, entries)).get("tenants") == tenants
+    assert json.loads(join_config(12, entries)).get("tenants") == workspaces
 
 
 @pytest.mark.parametrize(
-    "tenants",
+    "workspaces",
     [
-        [TENANTS[0], TENANTS[0]],
-        [TENANTS[0], {"name": "other", "apiKeys": ["k2"]}],
-        [TENANTS[0], {"name": "acme", "apiKeys": ["k9"]}],
+        [WORKSPACES[0], WORKSPACES[0]],
+        [WORKSPACES[0], {"name": "other", "apiKeys": ["k2"]}],
+        [WORKSPACES[0], {"name": "acme", "apiKeys": ["k9"]}],
         [{"name": "acme", "apiKeys": ["a b"]}],
         [{"name": "acme"}],
         [{"name": "acme", "apiKeys": ["k1"], "ratePerS": -1}],
     ],
 )
-def test_configurations_with_unfit_tenants_are_refused_whole(tenants):
-    refused = parse_config(with_tenants(*tenants))
+def test_configurations_with_unfit_workspaces_are_refused_whole(workspaces):
+    refused = parse_config(with_workspaces(*workspaces))
     assert refused.is_error()
     assert "k2" not in str(refused.error)
 
 
-def test_a_version_that_moves_a_key_changes_two_tenants():
-    first = _built(Config(), with_tenants(*TENANTS))
+def test_a_version_that_moves_a_key_changes_two_workspaces():
+    first = _built(Config(), with_workspaces(*WORKSPACES))
     moved = [
-        TENANTS[0] | {"apiKeys": ["k1"]},
-        TENANTS[1] | {"apiKeys": ["k2", "k3"]},
+        WORKSPACES[0] | {"apiKeys": ["k1"]},
+        WORKSPACES[1] | {"apiKeys": ["k2", "k3"]},
     ]
-    second = _built(first, with_tenants(*moved))
+    second = _built(first, with_workspaces(*moved))
     names = {k: t.name for k, t in second.keys.by_key.items()}
     assert names == {b"k1": "acme", b"k2": "beta", b"k3": "beta"}
-    same = _built(second, with_tenants(*moved))
-    assert same.arrangement.tenants is second.arrangement.tenants
+    same = _built(second, with_workspaces(*moved))
+    assert same.arrangement.workspaces is second.arrangement.workspaces
     assert _built(same, json.dumps(CONFIG).encode()).keys is None
 
 
--- a/tests/quotas/fleet.py
+++ b/tests/quotas/fleet.py
@@ -11,7 +11,7 @@
     QuotaExchange,
 )
 from fulmarrudder.distribution.topology import Peer, topology_of
-from fulmarrudder.model import Tenant
+from fulmarrudder.model import Workspace
 from fulmarrudder.quotas import FleetQuotas, QuotaBounds
 
 BOUNDS = QuotaBounds()
@@ -23,9 +23,9 @@
 START_S = 0.5
 
 
-def tenant_of(per_s, burst=None, name="acme"):
-    """Returns a tenant with a limit; its burst is a second's requests."""
-    return Tenant(
+def workspace_of(per_s, burst=None, name="acme"):
+    """Returns a workspace with a limit; its burst is a second's requests."""
+    return Workspace(
         name=name,
         keys=(),
         requests_per_s=per_s,
@@ -58,14 +58,14 @@
     """A fleet of linked nodes; the first letter of a node is its data centre.
 
     Attributes:
-        admitted: Time and tenant of each request that was admitted.
-        refused: Number of requests refused, by tenant.
+        admitted: Time and workspace of each request that was admitted.
+        refused: Number of requests refused, by workspace.
         cut: Data centres and nodes that reach no others.
         paused: Nodes that do not run, with what awaits them.
         starting: Nodes whose process is starting.
     """
 
-    def __init__(self, tenants, data_centres="abcd", size=3, seed=1):
+    def __init__(self, workspaces, data_centres="abcd", size=3, seed=1):
         self.clock = Clock()
         self.rng = random.Random(seed)
         self.names = [
@@ -77,7 +77,9 @@
             name: Peer(node=name, data_centre=name[0], mesh_address=name)
             for name in self.names
         }
-        self.tenants = {tenant.name: tenant for tenant in tenants}
+        self.workspaces = {
+            workspace.name: workspace for workspace in workspaces
+        }
         self.nodes = {}
         self.admitted = []
         self.refused = collections.Counter()
@@ -110,7 +112,7 @@
         )
         quotas = FleetQuotas(name, peer.data_centre, now, BOUNDS)
         quotas.view.set_nodes(collections.Counter(n[0] for n in self.names), 0)
-        quotas.set_tenants(self.tenants.values(), now)
+        quotas.set_workspaces(self.workspaces.values(), now)
         exchange = QuotaExchange(
             clock=self.clock,
             node=name,
@@ -124,12 +126,12 @@
         exchange.start()
         self.nodes[name] = exchange
 
-    def limit(self, tenant):
-        """Puts another limit of a tenant in force."""
-        self.tenants[tenant.name] = tenant
+    def limit(self, workspace):
+        """Puts another limit of a workspace in force."""
+        self.workspaces[workspace.name] = workspace
         for exchange in self.nodes.values():
-            exchange.quotas.set_tenants(
-                self.tenants.values(), self.clock.seconds()
+            exchange.quotas.set_workspaces(
+                self.workspaces.values(), self.clock.seconds()
             )
 
     def deliver(self, sender, receiver, data):
@@ -165,50 +167,50 @@
     def wake(self, name):
         """Lets a paused node go on; requests have waited for it."""
         messages = self.paused.pop(name)
-        for tenant in self.tenants:
+        for workspace in self.workspaces:
             for _ in range(REQUESTS_AT_WAKE):
-                self.ask(tenant, name)
+                self.ask(workspace, name)
         self.nodes[name].start()
         for message in messages:
             self.deliver(*message)
 
-    def run(self, seconds, demand, *, tenant="acme", nodes=None):
+    def run(self, seconds, demand, *, workspace="acme", nodes=None):
         """Runs the fleet under a demand.
 
         Args:
             seconds: For how long.
-            demand: Requests a second of a tenant.
-            tenant: Its name.
+            demand: Requests a second of a workspace.
+            workspace: Its name.
             nodes: Nodes that get them; all by default.
         """
         nodes = nodes or self.names
         for _ in range(round(seconds / STEP_S)):
             self.clock.advance(STEP_S)
-            self.due[tenant] += demand * STEP_S
-            while self.due[tenant] >= 1:
-                self.due[tenant] -= 1
-                self.ask(tenant, self.rng.choice(nodes))
+            self.due[workspace] += demand * STEP_S
+            while self.due[workspace] >= 1:
+                self.due[workspace] -= 1
+                self.ask(workspace, self.rng.choice(nodes))
 
-    def ask(self, tenant, node):
+    def ask(self, workspace, node):
         """Asks a node for one request; a paused one gets none."""
         if node in self.paused or node in self.starting:
             return
         now = self.clock.seconds()
-        refusal = self.nodes[node].quotas.admit(self.tenants[tenant], now)
+        refusal = self.nodes[node].quotas.admit(self.workspaces[workspace], now)
         if refusal is None:
-            self.admitted.append((now, tenant))
+            self.admitted.append((now, workspace))
         else:
-            self.refused[tenant] += 1
+            self.refused[workspace] += 1
 
-    def excess(self, tenant="acme", since=0.0):
-        """Returns by how much a tenant exceeds its bound at most."""
-        limit = self.tenants[tenant]
+    def excess(self, workspace="acme", since=0.0):
+        """Returns by how much a workspace exceeds its bound at most."""
+        limit = self.workspaces[workspace]
         bound = limit.requests_per_s * BOUNDS.window_s + limit.burst
         bound = bound * (1 + BOUNDS.excess) + BOUNDS.slack
         window = collections.deque()
         worst = -bound
         for at, name in self.admitted:
-            if name != tenant or at < since:
+            if name != workspace or at < since:
                 continue
             window.append(at)
             while window[0] <= at - BOUNDS.window_s:
--- a/tests/quotas/test_fleet.py
+++ b/tests/quotas/test_fleet.py
@@ -1,20 +1,20 @@
-"""A tenant's requests in the whole fleet, under load and under failures."""
+"""A workspace's requests in the whole fleet, under load and under failures."""
 
 import pytest
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from tests.quotas.fleet import BOUNDS, Fleet, tenant_of
+from tests.quotas.fleet import BOUNDS, Fleet, workspace_of
 
 SMALL, MIDDLE, LARGE = 2.5, 16.0, 400.0
-# Demand of a tenant in calm, as a part of its limit.
+# Demand of a workspace in calm, as a part of its limit.
 USUAL = 0.62
 HOT = 7.5 * USUAL
 
 
 def running_fleet(per_s, size=3):
     """Returns a fleet whose buckets are full."""
-    fleet = Fleet([tenant_of(per_s)], size=size)
+    fleet = Fleet([workspace_of(per_s)], size=size)
     fleet.run(3.0, 0)
     return fleet
 
@@ -28,7 +28,7 @@
 
 
 @pytest.mark.parametrize("per_s", [SMALL, MIDDLE, LARGE])
-def test_hot_tenant_gets_its_limit_and_no_more(per_s):
+def test_hot_workspace_gets_its_limit_and_no_more(per_s):
     fleet = running_fleet(per_s, size=14)
     fleet.run(2.0, USUAL * per_s)
     before = len(fleet.admitted)
@@ -46,7 +46,7 @@
 
 
 @pytest.mark.parametrize("per_s", [MIDDLE, LARGE])
-def test_tenant_that_moves_to_another_data_centre_keeps_its_limit(per_s):
+def test_workspace_that_moves_to_another_data_centre_keeps_its_limit(per_s):
     fleet = running_fleet(per_s)
     fleet.run(5.0, USUAL * per_s, nodes=["a000", "a001", "a002"])
     before = len(fleet.admitted)
@@ -57,13 +57,13 @@
     assert fleet.refused["acme"] == refused
 
 
-def test_small_tenants_on_many_nodes_are_not_refused():
-    tenants = [tenant_of(SMALL, name=f"t{index}") for index in range(8)]
-    fleet = Fleet(tenants, size=14)
+def test_small_workspaces_on_many_nodes_are_not_refused():
+    workspaces = [workspace_of(SMALL, name=f"t{index}") for index in range(8)]
+    fleet = Fleet(workspaces, size=14)
     fleet.run(3.0, 0)
     for _ in range(10):
-        for tenant in tenants:
-            fleet.run(0.1, USUAL * SMALL * 8, tenant=tenant.name)
+        for workspace in workspaces:
+            fleet.run(0.1, USUAL * SMALL * 8, workspace=workspace.name)
     assert not fleet.refused
 
 
@@ -104,7 +104,7 @@
 def test_lower_limit_takes_tokens_away_at_once():
     fleet = running_fleet(LARGE)
     fleet.run(3.0, USUAL * LARGE)
-    fleet.limit(tenant_of(0.1 * LARGE))
+    fleet.limit(workspace_of(0.1 * LARGE))
     since = fleet.clock.seconds()
     fleet.run(8.0, USUAL * LARGE)
     assert fleet.excess(since=since) <= 0
@@ -136,7 +136,7 @@
         for name in fleet.names:
             fleet.restart(name)
     elif event == "lower":
-        fleet.limit(tenant_of(0.2 * per_s))
+        fleet.limit(workspace_of(0.2 * per_s))
 
 
 def play(per_s, steps):
@@ -178,8 +178,8 @@
     assert play(per_s, steps) <= 0
 
 
-# A tenant that nobody asked for has no demand by which its rate is shared out.
-def test_idle_tenant_that_gets_hot_as_its_data_centre_is_cut_off():
+# A workspace that nobody asked for has no demand by which its rate is shared out.
+def test_idle_workspace_that_gets_hot_as_its_data_centre_is_cut_off():
     steps = [
         ("none", 0.0, 0.3),
         ("cut-a", 4.65, 2.5),
--- a/tests/quotas/test_gate.py
+++ b/tests/quotas/test_gate.py
@@ -1,37 +1,37 @@
-"""An entry node refuses requests beyond the quota of their tenant."""
+"""An entry node refuses requests beyond the quota of their workspace."""
 
 import dataclasses
 import re
 
 import pytest
 
-from fulmarrudder.model import Tenant
+from fulmarrudder.model import Workspace
 from fulmarrudder.quotas import FleetQuotas, QuotaBounds
 from fulmarrudder.quotas.gate import QuotaGate
 from tests.call.test_walks import Walk, assert_shown, events_of
 
-ACME = Tenant(name="acme", keys=(), requests_per_s=1.0, burst=2.0)
+ACME = Workspace(name="acme", keys=(), requests_per_s=1.0, burst=2.0)
 EXACT = QuotaBounds(excess=0.0, slack=0.0)
 
 
 class Scene:
     """An entry node that is a fleet of its own, and a target of another."""
 
-    def __init__(self, log_lines, tenants=(ACME,)):
+    def __init__(self, log_lines, workspaces=(ACME,)):
         self.walk = Walk(log_lines)
         self.network, self.entry = self.walk.network, self.walk.entry.entry
         self.quotas = FleetQuotas(
             "n1", "a", self.network.seconds() - 60.0, EXACT
         )
-        self.quotas.set_tenants((), 0.0)
+        self.quotas.set_workspaces((), 0.0)
         self.quotas.view.hear("a", 0.0, self.network.seconds())
-        self.quotas.set_tenants(tenants, self.network.seconds())
+        self.quotas.set_workspaces(workspaces, self.network.seconds())
         gate = QuotaGate(self.network, self.quotas, self.entry.report.events)
         self.entry.admit, self.entry.refund = gate.admit, gate.refund
         self.entry.identify = self.identify
 
     def identify(self, routed):
-        return dataclasses.replace(routed, tenant=ACME)
+        return dataclasses.replace(routed, workspace=ACME)
 
     @property
     def tokens(self):
@@ -93,8 +93,8 @@
     assert scene.tokens < before - 0.5
 
 
-def test_tenant_without_a_limit_is_not_counted(log_lines):
-    scene = Scene(log_lines, tenants=(Tenant(name="acme", keys=()),))
+def test_workspace_without_a_limit_is_not_counted(log_lines):
+    scene = Scene(log_lines, workspaces=(Workspace(name="acme", keys=()),))
     scene.walk.send(b"POST")
     assert scene.walk.target.received
     assert not scene.quotas.has_limits
--- a/tests/tenants/test_identify.py
+++ b/tests/workspaces/test_identify.py
@@ -1,4 +1,4 @@
-"""The tenant of a request is told by its key, which ends at the entry node."""
+"""The workspace of a request is told by its key, which ends at the entry node."""
 
 import dataclasses
 
@@ -10,20 +10,20 @@
 from fulmarrudder.call.message import Headers, RequestHead
 from fulmarrudder.call.refusals import UNCONFIRMED_KEYS, UNKNOWN_KEY
 from fulmarrudder.call.route import RoutedRequest
-from fulmarrudder.model import Route, Tenant
-from fulmarrudder.tenants import Credentials, Identifier
-from fulmarrudder.tenants.keys import KeyTable, key_table_of
+from fulmarrudder.model import Route, Workspace
+from fulmarrudder.workspaces import Credentials, Identifier
+from fulmarrudder.workspaces.keys import KeyTable, key_table_of
 
-NAMES = HeaderNames(api_key=b"x-key", tenant=b"x-tenant")
-ACME = Tenant(name="acme", keys=("k1", "k2"))
-BETA = Tenant(name="beta", keys=("k3",))
+NAMES = HeaderNames(api_key=b"x-key", workspace=b"x-workspace")
+ACME = Workspace(name="acme", keys=("k1", "k2"))
+BETA = Workspace(name="beta", keys=("k3",))
 ROUTE = Route(name="r", host="", prefix="/", service="s")
 OPEN_ROUTE = Route(name="o", host="", prefix="/o/", service="s", exempt=True)
 
 
-def identifier_of(*tenants):
+def identifier_of(*workspaces):
     identifier = Identifier(Clock(), NAMES, ConfigFreshness(confirmed_at=0.0))
-    identifier.keys = key_table_of(tenants).ok
+    identifier.keys = key_table_of(workspaces).ok
     return identifier
 
 
@@ -35,21 +35,23 @@
 
 
 @pytest.mark.parametrize(
-    ("fields", "route", "tenant"),
+    ("fields", "route", "workspace"),
     [
         ([(b"x-key", b"k1")], ROUTE, ACME),
-        ([(b"x-key", b"k3"), (b"x-tenant", b"acme")], ROUTE, BETA),
+        ([(b"x-key", b"k3"), (b"x-workspace", b"acme")], ROUTE, BETA),
         ([(b"x-key", b"k2")], OPEN_ROUTE, ACME),
         ([(b"x-key", b"none")], OPEN_ROUTE, None),
-        ([(b"x-tenant", b"acme")], OPEN_ROUTE, None),
+        ([(b"x-workspace", b"acme")], OPEN_ROUTE, None),
     ],
 )
-def test_request_gets_the_tenant_of_its_key(fields, route, tenant):
+def test_request_gets_the_workspace_of_its_key(fields, route, workspace):
     found = identifier_of(ACME, BETA).identify(
         routed_with(*fields, route=route)
     )
-    told = [] if tenant is None else [(b"x-tenant", tenant.name.encode())]
-    assert found.tenant is tenant
+    told = (
+        [] if workspace is None else [(b"x-workspace", workspace.name.encode())]
+    )
+    assert found.workspace is workspace
     assert list(found.head.headers.fields) == [(b"a", b"1"), *told]
 
 
@@ -61,7 +63,7 @@
         [(b"x-key", b"K1")],
         [(b"x-key", b"k1 ")],
         [(b"x-key", b"k1"), (b"x-key", b"k3")],
-        [(b"x-tenant", b"acme")],
+        [(b"x-workspace", b"acme")],
     ],
 )
 def test_request_without_a_known_key_is_refused(fields):
@@ -70,14 +72,14 @@
     assert refused.status == 401
 
 
-def test_without_tenants_a_request_stays_as_it_is():
+def test_without_workspaces_a_request_stays_as_it_is():
     identifier = identifier_of()
     identifier.keys = None
-    routed = routed_with((b"x-key", b"k1"), (b"x-tenant", b"acme"))
+    routed = routed_with((b"x-key", b"k1"), (b"x-workspace", b"acme"))
     assert identifier.identify(routed) is routed
 
 
-def test_a_list_without_tenants_lets_nobody_in():
+def test_a_list_without_workspaces_lets_nobody_in():
     refused = identifier_of().identify(routed_with((b"x-key", b"k1")))
     assert refused is UNKNOWN_KEY
 
@@ -105,10 +107,10 @@
         assert (found is not UNCONFIRMED_KEYS) == is_served
 
 
-def test_a_key_may_move_from_one_tenant_to_another():
+def test_a_key_may_move_from_one_workspace_to_another():
     before = key_table_of([ACME, BETA]).ok
-    poorer = Tenant(name="acme", keys=("k1",))
-    richer = Tenant(name="beta", keys=("k2", "k3"))
+    poorer = Workspace(name="acme", keys=("k1",))
+    richer = Workspace(name="beta", keys=("k2", "k3"))
     after = before.changed(removed=[ACME, BETA], added=[poorer, richer]).ok
     assert after.by_key == {b"k1": poorer, b"k2": richer, b"k3": richer}
     assert before.by_key[b"k2"] is ACME
@@ -117,9 +119,9 @@
 @pytest.mark.parametrize(
     "added",
     [
-        [Tenant(name="beta", keys=("k1",))],
-        [Tenant(name="acme", keys=("k9",))],
-        [Tenant(name="b", keys=("k9",)), Tenant(name="c", keys=("k9",))],
+        [Workspace(name="beta", keys=("k1",))],
+        [Workspace(name="acme", keys=("k9",))],
+        [Workspace(name="b", keys=("k9",)), Workspace(name="c", keys=("k9",))],
     ],
 )
 def test_shared_keys_and_names_are_refused_without_telling_the_key(added):
@@ -136,12 +138,14 @@
 )
 def test_key_behind_many_lines_counts_and_is_not_passed_on(block):
     routed = routed_with()
-    headers = Headers(routed.head.headers.fields, block + b"x-tenant:beta\r\n")
+    headers = Headers(
+        routed.head.headers.fields, block + b"x-workspace:beta\r\n"
+    )
     routed = dataclasses.replace(routed, head=routed.head.with_headers(headers))
     found = identifier_of(ACME, BETA).identify(routed)
-    assert found.tenant is ACME
+    assert found.workspace is ACME
     assert found.head.headers.block == b"b:2\r\n"
-    assert found.head.headers.get(b"x-tenant") == b"acme"
+    assert found.head.headers.get(b"x-workspace") == b"acme"
 
 
 def test_two_keys_are_none_wherever_they_stand():
@@ -151,12 +155,12 @@
     assert identifier_of(ACME, BETA).identify(routed) is UNKNOWN_KEY
 
 
-def test_a_tenant_is_shown_without_its_keys():
+def test_a_workspace_is_shown_without_its_keys():
     assert "k1" not in repr(ACME)
 
 
-def test_a_key_that_its_tenant_lists_twice_can_be_taken_away():
-    twice = Tenant(name="acme", keys=("k1", "k1"))
+def test_a_key_that_its_workspace_lists_twice_can_be_taken_away():
+    twice = Workspace(name="acme", keys=("k1", "k1"))
     before = key_table_of([twice]).ok
     after = before.changed(removed=[twice], added=[ACME]).ok
     assert after.by_key == {b"k1": ACME, b"k2": ACME}
