Fewer function calls on the path of a call

Costs are learned only where they are used, the active configuration is read without a property, and offers of slots are looked up only while there are any.

--- a/src/fulmarrudder/call/entry.py
+++ b/src/fulmarrudder/call/entry.py
@@ -215,7 +215,9 @@
         """
         arrived_at = self.clock.seconds()
         requested_timeout = head.headers.get(self.header_names.caller_timeout)
-        await self.start_gate.hold(lambda: self.active_config.table is not None)
+        await self.start_gate.hold(
+            lambda: self.selector.active_config.table is not None
+        )
         routed = run_steps(head, self.steps, Refusal)
         if routed is UNKNOWN_KEY and self._is_behind():
             routed = await self._identify_later(head)
@@ -299,7 +301,7 @@
         self.retry_budgets.resize(ratio=ratio, limit=limit)
 
     def _check_configured(self, head: RequestHead) -> RequestHead | Refusal:
-        if self.active_config.table is None:
+        if self.selector.active_config.table is None:
             return not_run(
                 RefusalReason.NO_ARRANGEMENT,
                 "node holds no configuration version yet",
@@ -307,11 +309,11 @@
         return head
 
     def _match_route(self, head: RequestHead) -> RoutedRequest | Refusal:
-        return self.active_config.table.match(head, self.rng)
+        return self.selector.active_config.table.match(head, self.rng)
 
     def _is_behind(self) -> bool:
         """Returns whether there is a later version that is not active yet."""
-        state = self.active_config.state
+        state = self.selector.active_config.state
         return state is not None and self.freshness.told_version > state.version
 
     async def _identify_later(
--- a/src/fulmarrudder/call/load_balancer.py
+++ b/src/fulmarrudder/call/load_balancer.py
@@ -282,7 +282,8 @@
         stats = self._stats_for(presence, now)
         if stats.wait_s is not None and stats.ejected_until > now:
             return SlotState.FULL
-        if self.vacancies.offer_of(presence.node, now) is not None:
+        offers = self.vacancies
+        if offers.by_node and offers.offer_of(presence.node, now) is not None:
             return SlotState.FREE
         if now - stats.reported_at > LOAD_REPORT_TTL_S:
             return SlotState.UNKNOWN
--- a/src/fulmarrudder/call/message.py
+++ b/src/fulmarrudder/call/message.py
@@ -55,7 +55,7 @@
             names: Names of the fields to remove.
             added: Fields to add.
         """
-        kept = tuple(field for field in self.fields if field[0] not in names)
+        kept = [field for field in self.fields if field[0] not in names]
         block = drop_lines(self.block, names) if self.block else b""
         return Headers((*kept, *added), block)
 
--- a/src/fulmarrudder/call/selection.py
+++ b/src/fulmarrudder/call/selection.py
@@ -94,7 +94,11 @@
         now = self.clock.seconds()
         for version_filter in version_filters:
             eligible = tuple(
-                p for p in endpoints if version_filter.allows(p.target_version)
+                [
+                    p
+                    for p in endpoints
+                    if version_filter.allows(p.target_version)
+                ]
             )
             if call.capacity_refusals:
                 eligible = self._filter_by_slots(eligible, call, now)
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -489,7 +489,9 @@
             run: What `acquire` fired with.
         """
         if run is not None:
-            self.work.end(run, self.clock.seconds(), service_time_s)
+            # Costs are learned once they are used.
+            took_s = service_time_s if self.uses_work else None
+            self.work.end(run, self.clock.seconds(), took_s)
         if service_time_s is not None:
             self.service_time_s += SERVICE_TIME_WEIGHT * (
                 service_time_s - self.service_time_s
