--- a/bench/builds.py
+++ b/bench/builds.py
@@ -32,12 +32,17 @@
     wait_for,
 )
 from fulmarrudder_lab.firms import ESFERA, OPERATOR_TOKEN, arrangement_document
+from fulmarrudder_lab.machine import (
+    HEARTBEAT_INTERVAL_S,
+    SETTINGS_VARIABLE,
+    Machine,
+    append_record,
+    config_document,
+)
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 CLOSED_PHASES = ("completed", "taken-back")
 IN_FORCE_LINE = re.compile(r'time="[^"]+" .*event=in-force .*version=(\d+)')
-SETTINGS_VARIABLE = "FULMARRUDDER_BOOT"
-HEARTBEAT_INTERVAL_S = 0.5
 LOAD_INTERVAL_S = 0.01
 MOVE_TIMEOUT_S = 90.0
 HOST = ESFERA.host
@@ -343,43 +348,20 @@
         self.callers: list[str] = []
 
 
-class Machine:
-    """A machine of the platform: a node, and a target that sends heartbeats."""
+class BuiltMachine(Machine):
+    """A machine whose node runs the build of a checkout."""
 
     def __init__(self, name: str, service: str, version: str, store_port: int):
-        self.name = name
-        self.service = service
-        self.version = version
-        self.call_port, self.host_port, self.ready_port = (
-            free_port() for _ in range(3)
-        )
-        self.control_port = free_port()
-        self.first_port = _two_free_ports()
         self.server = TargetServer(version)
         threading.Thread(target=self.server.serve_forever, daemon=True).start()
-        self.sequence = 0
         self.process: Process | None = None
-        self.settings = {
-            "nodeId": name,
-            "zone": "lima-1",
-            "ip": "127.0.0.1",
-            "listen": {
-                "inbound": f"127.0.0.1:{self.host_port}",
-                "outbound": f"127.0.0.1:{self.call_port}",
-                "readinessAddr": f"127.0.0.1:{self.ready_port}",
-                "control": f"127.0.0.1:{self.control_port}",
-            },
-            "portRange": [self.first_port, self.first_port + 1],
-            "appAddr": f"127.0.0.1:{self.server.server_port}",
-            "service": service,
-            "bounds": {
-                "drain": "2000ms",
-                "grace": "6s",
-                "retryBudgetRatio": 0.2,
-                "budgetSlack": 58,
-            },
-            "platform": {"address": f"127.0.0.1:{store_port}", "form": "log"},
-        }
+        super().__init__(
+            name,
+            service,
+            version,
+            target_port=self.server.server_port,
+            store_port=store_port,
+        )
 
     def start(self, checkout: pathlib.Path, folder: pathlib.Path) -> None:
         """Starts the node with the build of a checkout."""
@@ -391,32 +373,6 @@
                 ["fulmarrudder.platform.daemon"], folder / f"{self.name}.txt"
             )
 
-    def send_heartbeat(self) -> None:
-        """Sends one heartbeat for the target."""
-        self.sequence += 1
-        document = {
-            "address": f"127.0.0.1:{self.server.server_port}",
-            "born": 1785000000000,
-            "info": {
-                "service": self.service,
-                "version": self.version,
-                "zone": "lima-1",
-                "slots": 8,
-            },
-            "status": {
-                "state": "ready",
-                "sequence": self.sequence,
-                "coldLeft": "0ms",
-            },
-        }
-        path = f"/-/instances/i-{self.name}/heartbeat"
-        with contextlib.suppress(OSError):
-            send_request("POST", self.control_port, path, json.dumps(document))
-
-    def is_ready(self) -> bool:
-        """Returns whether the node's readiness probe succeeds."""
-        return send_request("GET", self.ready_port, "/-/readiness")[0] == 200
-
     def read_metric(self, name: str) -> float:
         """Returns a metric's value."""
         text = send_request("GET", self.first_port + 1, "/metrics")[2].decode()
@@ -425,13 +381,6 @@
         return sum(float(line.rpartition(" ")[2]) for line in lines)
 
 
-def _two_free_ports() -> int:
-    while True:
-        first = free_port()
-        if free_port() == first + 1:
-            return first
-
-
 class PlatformFrontEnd:
     """A fleet on the platform's store stand-in."""
 
@@ -451,10 +400,10 @@
             "the store", lambda: self.latest_values("keyed.op") is not None
         )
         self.machines = [
-            Machine("vitrina-1", "vitrina", "v1", self.store_port),
-            Machine("caja-1", "caja", "v1", self.store_port),
-            Machine("caja-2", "caja", "v2", self.store_port),
-            Machine("vitrina-2", "vitrina", "v1", self.store_port),
+            BuiltMachine("vitrina-1", "vitrina", "v1", self.store_port),
+            BuiltMachine("caja-1", "caja", "v1", self.store_port),
+            BuiltMachine("caja-2", "caja", "v2", self.store_port),
+            BuiltMachine("vitrina-2", "vitrina", "v1", self.store_port),
         ]
         self.heartbeat_thread = threading.Thread(
             target=self._send_heartbeats, daemon=True
@@ -480,11 +429,7 @@
     def write_record(self, key: str, document: dict | None) -> None:
         """Writes an operator's record."""
         value = json.dumps(document).encode() if document else b""
-        content = bytes([len(key)]) + key.encode() + value
-        data = len(content).to_bytes(4, "big") + content
-        send_request(
-            "POST", self.store_port, "/-/log-append?topic=keyed.op&part=0", data
-        )
+        append_record(self.store_port, key, value)
 
     def write_config(self) -> None:
         """Writes the next configuration."""
@@ -494,33 +439,15 @@
                 "name": f"r-{service}",
                 "pathPrefix": prefix,
                 "service": service,
-                "routeType": "idempotent",
-                "timeout": "2000ms",
-                "targetLatency": "250ms",
-                "priority": 0,
-                "maxAttempts": 2,
             }
             for service, prefix in (("vitrina", "/"), ("caja", "/quotes/"))
         ]
         self.write_record(
             "config",
-            {
-                "version": f"{self.version:08x}",
-                "services": [
-                    {"name": name, "maxConnections": 110}
-                    for name in ("vitrina", "caja")
-                ],
-                "limits": {
-                    "maxHeaderBytes": 16384,
-                    "maxBodyBytes": 67108864,
-                    "headerTimeout": "3000ms",
-                    "idleTimeout": "15s",
-                },
-                "virtualHosts": [{"hostname": HOST, "paths": routes}],
-            },
+            config_document(self.version, HOST, routes, max_connections=110),
         )
 
-    def start(self, old_nodes: list[Machine]) -> None:
+    def start(self, old_nodes: list[BuiltMachine]) -> None:
         """Starts all nodes and waits until they are ready."""
         for machine in self.machines:
             checkout = self.old_checkout if machine in old_nodes else ROOT
--- a/src/fulmarrudder/call/slots.py
+++ b/src/fulmarrudder/call/slots.py
@@ -204,10 +204,16 @@
         turn = self.turns.next_turn(workspace)
         ahead = [
             e[-1]
-            for e in self.heap
-            if e[-1].is_waiting
-            and (e[0] < rank or (e[0] == rank and e[2] <= turn))
+            for e in self._waiting()
+            if e[0] < rank or (e[0] == rank and e[2] <= turn)
         ]
+        return self._wait_behind(ahead)
+
+    def _waiting(self) -> list[tuple]:
+        """Returns the entries of the heap whose requests wait."""
+        return [entry for entry in self.heap if entry[-1].is_waiting]
+
+    def _wait_behind(self, ahead: list["_Waiter"]) -> float:
         rate_wait_s = self.rate.wait_s(self.clock.seconds(), len(ahead))
         return max(rate_wait_s, self._slot_wait(ahead))
 
@@ -242,9 +248,7 @@
 
     def work_left_s(self) -> float:
         """Returns the seconds of work of all requests that run or wait."""
-        waiting = [
-            e[-1].request.cost_class for e in self.heap if e[-1].is_waiting
-        ]
+        waiting = [entry[-1].request.cost_class for entry in self._waiting()]
         return self.work.total_s(self.clock.seconds(), waiting)
 
     def retry_after(self, latest: float = math.inf) -> float:
@@ -254,9 +258,8 @@
             latest: Clock seconds after which a return is of little use.
         """
         now = self.clock.seconds()
-        rate_wait_s = self.rate.wait_s(now, self.queued)
-        waiting = [e[-1] for e in self.heap if e[-1].is_waiting]
-        wait_s = max(MIN_RETRY_AFTER_S, rate_wait_s, self._slot_wait(waiting))
+        waiting = [entry[-1] for entry in self._waiting()]
+        wait_s = max(MIN_RETRY_AFTER_S, self._wait_behind(waiting))
         if not self.uses_work:
             return wait_s
         pace_s = self.average_service_time_s / max(1, self.capacity)
@@ -363,7 +366,7 @@
         """
         turn = self.turns.next_turn(request.workspace)
         later = max(
-            (e for e in self.heap if e[-1].is_waiting and e[0] == request.rank),
+            (e for e in self._waiting() if e[0] == request.rank),
             key=lambda e: e[2],
             default=None,
         )
@@ -382,11 +385,9 @@
             return wait_s
         turn = self.turns.next_turn(request.workspace)
         place = _place_of(request, turn, late=False)
-        ahead = [
-            e[-1] for e in self.heap if e[-1].is_waiting and e[:4] <= place
-        ]
-        rate_wait_s = self.rate.wait_s(self.clock.seconds(), len(ahead))
-        return max(rate_wait_s, self._slot_wait(ahead))
+        return self._wait_behind(
+            [e[-1] for e in self._waiting() if e[:4] <= place]
+        )
 
     def _less_urgent_than(self, request: SlotRequest) -> "_Waiter | None":
         """Returns the queued request that gives way in a full queue, or None.
@@ -400,9 +401,7 @@
         own_turn = self.turns.next_turn(request.workspace)
         cost_s = self._service_time_of(request)
         latest, latest_key = None, (request.rank, False, cost_s)
-        for rank, late, turn, *_, waiter in self.heap:
-            if not waiter.is_waiting:
-                continue
+        for rank, late, turn, *_, waiter in self._waiting():
             waiter_cost_s = self._service_time_of(waiter.request)
             if rank == request.rank and not late:
                 if (
@@ -421,7 +420,7 @@
         now = self.clock.seconds()
         first_s = self.work.wait_s(now, self.capacity, ())
         ahead_s = 0.0
-        for entry in sorted(e for e in self.heap if e[-1].is_waiting):
+        for entry in sorted(self._waiting()):
             waiter = entry[-1]
             if not waiter.is_waiting:
                 continue
@@ -434,7 +433,7 @@
 
     def refuse_waiting(self, detail: str) -> None:
         """Refuses all requests that wait for a slot."""
-        waiters = [entry[-1] for entry in self.heap if entry[-1].is_waiting]
+        waiters = [entry[-1] for entry in self._waiting()]
         self.heap.clear()
         for waiter in waiters:
             # The end of one request may have cancelled others.
@@ -469,7 +468,7 @@
 
     def _push(self, waiter: _Waiter, *, late: bool) -> None:
         if len(self.heap) > MAX_HEAP_FACTOR * (self.queued + self.capacity):
-            self.heap = [entry for entry in self.heap if entry[-1].is_waiting]
+            self.heap = self._waiting()
             heapq.heapify(self.heap)
         place = _place_of(waiter.request, waiter.turn, late=late)
         heapq.heappush(self.heap, (*place, next(self.sequence), waiter))
--- a/src/fulmarrudder/call/vacancies.py
+++ b/src/fulmarrudder/call/vacancies.py
@@ -7,8 +7,8 @@
 from fulmarrudder.placement import Askers, is_needed
 
 
-def _tell_nobody(node: str, slots: int, slowness: float) -> bool:
-    return False
+def _tell_nobody(node: str, slowness: float) -> None:
+    """Is called where there is no way to other nodes."""
 
 
 class VacancyReporter:
@@ -16,8 +16,8 @@
 
     Attributes:
         askers: Nodes that have sent requests.
-        tell: Tells a node, by its id, of the free slots and the slowness of
-            the target; returns whether there is a way to it.
+        tell: Tells a node, by its id, of a free slot and the slowness of the
+            target.
     """
 
     def __init__(
@@ -31,7 +31,7 @@
         self.slots = slots
         self.is_open = is_open
         self.askers = Askers()
-        self.tell: Callable[[str, int, float], bool] = _tell_nobody
+        self.tell: Callable[[str, float], None] = _tell_nobody
         slots.on_vacancy = self._slot_released
 
     def asked(self, node: str, now: float) -> None:
@@ -48,5 +48,4 @@
         node = self.askers.next(now)
         if node is not None:
             speed = slots.work.speed
-            free = slots.capacity - slots.taken
-            self.tell(node, free, speed.now(now) / speed.average)
+            self.tell(node, speed.now(now) / speed.average)
--- a/src/fulmarrudder/distribution/message.py
+++ b/src/fulmarrudder/distribution/message.py
@@ -227,11 +227,9 @@
     """Tells that the target beside the sender has a slot free.
 
     Attributes:
-        slots: Free slots.
         slowness: How long work takes there, in percent of the average.
     """
 
-    slots: int
     slowness: int
 
 
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -756,13 +756,11 @@
         )
         self.on_version_told(version)
 
-    def _tell_vacancy(self, node: str, slots: int, slowness: float) -> bool:
-        """Tells a node of this data centre of free slots of the target."""
-        vacancy = Vacancy(slots=slots, slowness=round(slowness * 100))
-        is_told = self.gossip.tell_vacancy(node, vacancy)
-        if is_told:
+    def _tell_vacancy(self, node: str, slowness: float) -> None:
+        """Tells a node of this data centre of a free slot of the target."""
+        vacancy = Vacancy(slowness=round(slowness * 100))
+        if self.gossip.tell_vacancy(node, vacancy):
             self.metrics.count(VACANCIES_METRIC, ("event", "told"))
-        return is_told
 
     def _vacancy_told(self, node: str, vacancy: Vacancy) -> None:
         self.metrics.count(VACANCIES_METRIC, ("event", "heard"))
--- a/src/fulmarrudder/operate/check.py
+++ b/src/fulmarrudder/operate/check.py
@@ -172,20 +172,38 @@
 
 
 def _check_matches(arrangement: Arrangement) -> Iterator[Finding]:
-    """Yields routes behind others that match the same requests."""
-    holders: dict[tuple[str, str, str], Route] = {}
+    """Yields routes behind others that match all of the same requests.
+
+    A node uses the first route of a host and prefix that its service may call,
+    so that a route stands behind others once these cover all its callers.
+    """
+    holders: dict[tuple[str, str], list[Route]] = {}
     for route in arrangement.routes:
-        for caller in route.callers or ("",):
-            match = (route.host, route.prefix, caller)
-            holder = holders.setdefault(match, route)
-            if holder is route:
-                continue
-            yield Finding(
-                kind=Kind.UNREACHABLE,
-                subject=_subject_of(route),
-                detail=f"route {holder.name} has the same host and prefix",
-            )
-            break
+        earlier = holders.setdefault((route.host, route.prefix), [])
+        hiding = _hiding_routes(route, earlier)
+        earlier.append(route)
+        if not hiding:
+            continue
+        names = ", ".join(dict.fromkeys(other.name for other in hiding))
+        yield Finding(
+            kind=Kind.UNREACHABLE,
+            subject=_subject_of(route),
+            detail=f"route {names} has the same host and prefix",
+        )
+
+
+def _hiding_routes(route: Route, earlier: list[Route]) -> list[Route]:
+    """Returns the earlier routes that leave none of a route's callers to it."""
+    for other in earlier:
+        if not other.callers:
+            return [other]
+    hiding = []
+    for caller in route.callers:
+        holders = [other for other in earlier if caller in other.callers]
+        if not holders:
+            return []
+        hiding.append(holders[0])
+    return hiding
 
 
 def _check_use(arrangement: Arrangement) -> Iterator[Finding]:
--- a/src/fulmarrudder/platform/era.py
+++ b/src/fulmarrudder/platform/era.py
@@ -50,10 +50,7 @@
             number: The era, or None if none is told.
         """
         before = self.number
-        if number is None:
-            self.number = self.current
-            return
-        if number <= self.current:
+        if number is None or number <= self.current:
             self.number = self.current
             return
         self.number = number
--- a/tests/call/test_placement.py
+++ b/tests/call/test_placement.py
@@ -287,8 +287,8 @@
         self.reporter = VacancyReporter(
             clock=self.clock, slots=self.slots, is_open=lambda: self.is_open
         )
-        self.reporter.tell = lambda node, slots, slowness: self.told.append(
-            (node, slots)
+        self.reporter.tell = lambda node, slowness: self.told.append(
+            (node, self.slots.capacity - self.slots.taken)
         )
         for node in ("a", "b"):
             self.reporter.asked(node, self.clock.seconds())
--- a/tests/distribution/test_gossip.py
+++ b/tests/distribution/test_gossip.py
@@ -234,7 +234,7 @@
             (name, sender, vacancy)
         )
     teller = net.nodes["a-00"].mesh
-    vacancy = Vacancy(slots=2, slowness=140)
+    vacancy = Vacancy(slowness=140)
     teller.links["a-02"].protocol = VACANCY_PROTOCOL - 1
     assert teller.tell_vacancy("a-01", vacancy)
     assert not teller.tell_vacancy("a-02", vacancy)
--- a/tests/operate/test_check.py
+++ b/tests/operate/test_check.py
@@ -104,10 +104,25 @@
     assert (finding.kind, finding.subject) == (kind, subject)
 
 
-def test_routes_for_other_callers_may_share_a_prefix():
-    first = dataclasses.replace(PAY, callers=("x",))
-    second = dataclasses.replace(PAY, name="pay2", callers=("y",))
-    assert check(dataclasses.replace(SOUND, routes=(first, second))) == ()
+@pytest.mark.parametrize(
+    ("callers", "hidden"),
+    [
+        ([("x",), ("y",)], []),
+        ([("x",), ("x", "y")], []),
+        ([("x",), ()], []),
+        ([(), ("x",)], ["route pay1"]),
+        ([("x",), ("y",), ("x", "y")], ["route pay2"]),
+    ],
+)
+def test_route_is_hidden_once_all_its_callers_have_earlier_ones(
+    callers, hidden
+):
+    routes = tuple(
+        dataclasses.replace(PAY, name=f"pay{number}", callers=names)
+        for number, names in enumerate(callers)
+    )
+    findings = check(dataclasses.replace(SOUND, routes=routes))
+    assert [finding.subject for finding in findings] == hidden
 
 
 @pytest.mark.parametrize(
--- a/tests/processes/machines.py
+++ b/tests/processes/machines.py
@@ -5,21 +5,20 @@
 import json
 import os
 import pathlib
-import struct
 import threading
 import time
 
 from fulmarrudder_lab.cluster import Process, free_port, send_request, wait_for
+from fulmarrudder_lab.machine import (
+    HEARTBEAT_INTERVAL_S,
+    SETTINGS_VARIABLE,
+    Machine,
+    append_record,
+    config_document,
+)
 
 HOST = "esfera.example"
 LARGE_ANSWER_BYTES = 262_144
-HEARTBEAT_INTERVAL_S = 0.5
-BOUNDS = {
-    "drain": "2000ms",
-    "grace": "6s",
-    "retryBudgetRatio": 0.2,
-    "budgetSlack": 58,
-}
 
 
 class TargetHandler(http.server.BaseHTTPRequestHandler):
@@ -83,80 +82,37 @@
         threading.Thread(target=self.serve_forever, daemon=True).start()
 
 
-class Machine:
-    """A machine of the platform: a node and its target.
+class CrowdedMachine(Machine):
+    """A machine whose node is to meet a crowd.
 
     Attributes:
-        process: The node.
+        target: Its target.
+        process: Its node.
     """
 
     def __init__(
         self, service: str, store_port: int, folder: pathlib.Path, limits: dict
     ):
-        self.service = service
         self.target = Target()
-        self.call_port, host_port, self.ready_port, self.control_port = (
-            free_port() for _ in range(4)
+        super().__init__(
+            f"{service}-1",
+            service,
+            "v1",
+            target_port=self.target.server_port,
+            store_port=store_port,
         )
-        first_port = free_port()
-        while free_port() != first_port + 1:
-            first_port += 1
-        settings = {
-            "nodeId": f"{service}-1",
-            "zone": "lima-1",
-            "ip": "127.0.0.1",
-            "listen": {
-                "inbound": f"127.0.0.1:{host_port}",
-                "outbound": f"127.0.0.1:{self.call_port}",
-                "readinessAddr": f"127.0.0.1:{self.ready_port}",
-                "control": f"127.0.0.1:{self.control_port}",
-            },
-            "portRange": [first_port, first_port + 1],
-            "appAddr": f"127.0.0.1:{self.target.server_port}",
-            "service": service,
-            "limits": limits,
-            "bounds": BOUNDS,
-            "platform": {"address": f"127.0.0.1:{store_port}", "form": "log"},
-        }
         path = folder / f"{service}.json"
-        path.write_text(json.dumps(settings))
-        os.environ["FULMARRUDDER_BOOT"] = str(path)
+        path.write_text(json.dumps({**self.settings, "limits": limits}))
+        os.environ[SETTINGS_VARIABLE] = str(path)
         self.process = Process(
             ["fulmarrudder.platform"], folder / f"{service}.txt"
         )
-        self.sequence = 0
-
-    def send_heartbeat(self) -> None:
-        """Sends one heartbeat for the target."""
-        self.sequence += 1
-        document = {
-            "address": f"127.0.0.1:{self.target.server_port}",
-            "born": 1785000000000,
-            "info": {
-                "service": self.service,
-                "version": "v1",
-                "zone": "lima-1",
-                "slots": 8,
-            },
-            "status": {
-                "state": "ready",
-                "sequence": self.sequence,
-                "coldLeft": "0ms",
-            },
-        }
-        path = f"/-/instances/i-{self.service}/heartbeat"
-        with contextlib.suppress(OSError, http.client.HTTPException):
-            send_request("POST", self.control_port, path, json.dumps(document))
 
     def get(self, path: str) -> int:
         """Sends an ordinary request; returns the status of its answer."""
         fields = {"host": HOST, "x-request-id": "ordinary"}
         return send_request("GET", self.call_port, path, headers=fields)[0]
 
-    def is_ready(self) -> bool:
-        """Returns whether the node's readiness probe succeeds."""
-        return send_request("GET", self.ready_port, "/-/readiness")[0] == 200
-
     def peak_bytes(self) -> int:
         """Returns the largest resident set size of the node so far."""
         status = pathlib.Path(f"/proc/{self.process.popen.pid}/status")
@@ -181,15 +137,9 @@
         )
         probe = "/-/log-newest?topic=keyed.op&part=0"
         wait_for("the store", lambda: send_request("GET", store_port, probe))
-        content = b"\x06config" + json.dumps(_config()).encode()
-        send_request(
-            "POST",
-            store_port,
-            "/-/log-append?topic=keyed.op&part=0",
-            struct.pack(">I", len(content)) + content,
-        )
+        append_record(store_port, "config", json.dumps(_config()).encode())
         self.machines = tuple(
-            Machine(service, store_port, folder, limits)
+            CrowdedMachine(service, store_port, folder, limits)
             for service in ("vitrina", "caja")
         )
         self.closed = threading.Event()
@@ -217,34 +167,18 @@
 def _config() -> dict:
     routes = [
         {
-            "name": f"r-{service}",
+            "name": f"r-{service}-{number}",
             "pathPrefix": prefix,
             "service": service,
             "routeType": kind,
             "timeout": "20s",
-            "targetLatency": "250ms",
-            "priority": 0,
-            "maxAttempts": 2,
         }
-        for service, prefix, kind in (
-            ("vitrina", "/", "idempotent"),
-            ("caja", "/quotes/", "idempotent"),
-            ("caja", "/uploads/", "upload"),
+        for number, (service, prefix, kind) in enumerate(
+            (
+                ("vitrina", "/", "idempotent"),
+                ("caja", "/quotes/", "idempotent"),
+                ("caja", "/uploads/", "upload"),
+            )
         )
     ]
-    for number, route in enumerate(routes):
-        route["name"] += f"-{number}"
-    return {
-        "version": "0000000c",
-        "services": [
-            {"name": name, "maxConnections": 550}
-            for name in ("vitrina", "caja")
-        ],
-        "limits": {
-            "maxHeaderBytes": 16384,
-            "maxBodyBytes": 67108864,
-            "headerTimeout": "3000ms",
-            "idleTimeout": "15s",
-        },
-        "virtualHosts": [{"hostname": HOST, "paths": routes}],
-    }
+    return config_document(12, HOST, routes, max_connections=550)
--- a/tests/samples.py
+++ b/tests/samples.py
@@ -308,7 +308,7 @@
         included=(("n1", 7),),
         pressing=True,
     ),
-    Vacancy(slots=2, slowness=140),
+    Vacancy(slowness=140),
 )
 ANSWERS = (
     Status(
