--- a/review/lib2/stage.py
+++ b/review/lib2/stage.py
@@ -450,11 +450,18 @@
             self.running -= 1
             self.room.release()
         digest = hashlib.sha256(path.encode() + body).hexdigest()
-        answer["X-Response-Seal"] = digest[:24]
-        answer["X-Instance-Load"] = (
-            f"{self.running},{self.waiting},{self.slots}"
-        )
-        writer.write(encode("HTTP/1.1 200 OK", answer, digest.encode()))
+        await self._answer(request, path, digest, writer)
+
+    async def _answer(
+        self, request: str, path: str, digest: str, writer
+    ) -> None:
+        fields = {
+            "X-Request-Id": request,
+            "X-Instance-Id": self.id,
+            "X-Response-Seal": digest[:24],
+            "X-Instance-Load": f"{self.running},{self.waiting},{self.slots}",
+        }
+        writer.write(encode("HTTP/1.1 200 OK", fields, digest.encode()))
         await writer.drain()
 
 
