--- a/src/fulmarrudder/reactor.py
+++ b/src/fulmarrudder/reactor.py
@@ -2,11 +2,18 @@
 
 Twisted runs the handler of each event in a context that names the connection in
 its log. The daemons' logs have no such field, and a call takes six events.
+
+Twisted also takes an error event without input for an orderly close. Here a read
+decides which it is.
 """
 
+import select
+
 from twisted.internet.epollreactor import EPollReactor
 from twisted.internet.main import installReactor
 
+DISCONNECTED = select.EPOLLERR | select.EPOLLHUP
+
 
 class Reactor(EPollReactor):
     """Runs the handlers of events directly."""
@@ -27,8 +34,13 @@
         for descriptor, event in events:
             # An earlier handler may have closed the connection.
             selectable = self._selectables.get(descriptor)
-            if selectable is not None:
-                self._doReadOrWrite(selectable, descriptor, event)
+            if selectable is None:
+                continue
+            if event & DISCONNECTED and descriptor in self._reads:
+                # While the kernel handles a reset, the error can be seen before
+                # the end of the input. Only a read tells a reset from a close.
+                event |= select.EPOLLIN
+            self._doReadOrWrite(selectable, descriptor, event)
 
     doIteration = doPoll  # noqa: N815
 
--- a/tests/processes/test_target_reset.py
+++ b/tests/processes/test_target_reset.py
@@ -1,16 +1,17 @@
 """Ends of real connections: a reset is told from a close."""
 
+import select
 import socket
 import struct
 import time
 
 import pytest
 from twisted.internet.defer import ensureDeferred
-from twisted.internet.epollreactor import EPollReactor
 
 from fulmarrudder.call.body import RequestBody
 from fulmarrudder.call.message import Framing, Headers, RequestHead
 from fulmarrudder.call.upstream import ConnectionPool
+from fulmarrudder.reactor import Reactor
 from tests.call.fakes import FakeSource
 from tests.call.test_host import RecordingSink
 
@@ -25,7 +26,7 @@
     """A reactor that a test turns by hand, and a target's socket."""
 
     def __init__(self):
-        self.reactor = EPollReactor()
+        self.reactor = Reactor()
         self.pool = ConnectionPool(self.reactor)
         self.listener = socket.create_server(("127.0.0.1", 0))
 
@@ -80,6 +81,60 @@
     assert (sink.ended, sink.broken) == (not reset, reset)
 
 
+class RacingPoller:
+    """Tells the end of a connection as epoll does before its input has ended.
+
+    Attributes:
+        poller: The poller whose events are altered.
+        ends: How often an end was told.
+    """
+
+    def __init__(self, poller):
+        self.poller = poller
+        self.ends = 0
+
+    def __getattr__(self, name):
+        return getattr(self.poller, name)
+
+    def poll(self, timeout, most):
+        return [
+            (descriptor, self.alter(event))
+            for descriptor, event in self.poller.poll(timeout, most)
+        ]
+
+    def alter(self, event):
+        if event & select.EPOLLERR:
+            self.ends += 1
+            return select.EPOLLERR
+        if event & select.EPOLLHUP:
+            self.ends += 1
+            return select.EPOLLHUP
+        return event
+
+
+# Guards against a reset whose error is seen before the end of the input: half of an
+# answer without a length reached the caller as a complete one.
+@pytest.mark.parametrize("is_head_read", [False, True])
+def test_error_seen_before_the_end_of_the_input_completes_no_answer(
+    loop, is_head_read
+):
+    exchange = loop.start_exchange()
+    loop.target.sendall(ANSWER)
+    sink, failures = RecordingSink(), []
+    exchange.head_ready.addCallbacks(
+        lambda head: exchange.stream_to(sink), failures.append
+    )
+    if is_head_read:
+        loop.turn_until(lambda: sink.data == b"abc")
+    else:
+        loop.turn_until(lambda: exchange.head is not None)
+    loop.reactor._poller = RacingPoller(loop.reactor._poller)
+    reset_now(loop.target)
+    loop.turn_until(lambda: failures or sink.ended or sink.broken)
+    assert loop.reactor._poller.ends == 1
+    assert not sink.ended
+
+
 # Guards against a head without its end that is taken for a whole answer.
 @pytest.mark.parametrize("reset", [False, True])
 def test_end_in_the_middle_of_a_head_is_a_lost_connection(loop, reset):
