--- a/src/fulmarrudder/membership/__init__.py
+++ b/src/fulmarrudder/membership/__init__.py
@@ -15,6 +15,7 @@
 from fulmarrudder.membership.errors import (
     AnnouncementError,
     DigestError,
+    ForeignServiceError,
     MembershipError,
 )
 from fulmarrudder.membership.store import FactStore
@@ -25,8 +26,9 @@
     "DepartedTarget",
     "Digest",
     "DigestError",
-    "LocalTarget",
     "FactStore",
+    "ForeignServiceError",
+    "LocalTarget",
     "MembershipError",
     "format_digest",
     "is_covered",
--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -1,7 +1,8 @@
 """Announcements of the local target of this node.
 
 Announcements are ordered by incarnation, then by sequence; the newest one
-applies. A target that does not announce itself in time is absent.
+applies. A target that does not announce itself in time is absent, and an earlier
+incarnation that still announces itself replaces it.
 """
 
 import dataclasses
@@ -161,18 +162,21 @@
         return self.departed
 
     def update(self, announcement: Announcement) -> bool:
-        """Stores an announcement if it is the newest.
+        """Stores an announcement if it is the newest of a live target.
 
         Returns:
-            Whether it was newer than the stored one.
+            Whether it replaced the stored one.
         """
         if self._has_departed(announcement):
             announcement = dataclasses.replace(
                 announcement, condition=Condition.LEAVING
             )
         stored = self.latest
-        if stored is not None and _recency(announcement) <= _recency(stored):
-            return False
+        if stored is not None:
+            if not self._is_superseded_by(announcement):
+                return False
+            if announcement.incarnation != stored.incarnation:
+                self.departed = self.latest_departed
         self.latest = announcement
         self.presumed_cold = False
         self.unreachable = False
@@ -204,9 +208,7 @@
     @property
     def condition(self) -> Condition:
         """The target's condition; absent once it is overdue or unreachable."""
-        if self.unreachable or self.latest is None:
-            return Condition.ABSENT
-        if self.clock.seconds() > self.deadline:
+        if self.latest is None or self._is_silent:
             return Condition.ABSENT
         condition = self.latest.condition
         if condition is not Condition.READY:
@@ -214,6 +216,20 @@
         is_confirmed = self.clock.seconds() >= self.unconfirmed_until
         return condition if is_confirmed else Condition.ABSENT
 
+    def _is_superseded_by(self, announcement: Announcement) -> bool:
+        stored = self.latest
+        if _recency(announcement) > _recency(stored):
+            return True
+        if announcement.incarnation == stored.incarnation:
+            return False
+        # Its start time may come from a clock that was set back since, and would
+        # keep the live target out for good.
+        return stored.condition is Condition.READY and self._is_silent
+
+    @property
+    def _is_silent(self) -> bool:
+        return self.unreachable or self.clock.seconds() > self.deadline
+
     def _has_departed(self, announcement: Announcement) -> bool:
         return self.departed is not None and self.departed.covers(
             announcement.id, announcement.incarnation
--- a/src/fulmarrudder/membership/errors.py
+++ b/src/fulmarrudder/membership/errors.py
@@ -9,5 +9,9 @@
     """An announcement is not valid."""
 
 
+class ForeignServiceError(MembershipError):
+    """An announcement names another service than that of the local target."""
+
+
 class DigestError(MembershipError):
     """A text is not a digest of facts."""
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -39,6 +39,7 @@
     Announcement,
     DepartedTarget,
     FactStore,
+    ForeignServiceError,
     LocalTarget,
 )
 from fulmarrudder.model import (
@@ -532,7 +533,12 @@
 
         Returns:
             Deferred that fires once it may be acknowledged.
+
+        Raises:
+            ForeignServiceError: It names another service than the settings.
         """
+        if announcement.service != self.settings.service:
+            raise ForeignServiceError(announcement.service)
         if self.local_target.update(announcement):
             self.host.apply_announcement()
             self.refresh_presence()
--- a/src/fulmarrudder/platform/http.py
+++ b/src/fulmarrudder/platform/http.py
@@ -4,7 +4,11 @@
 
 from twisted.internet.defer import Deferred
 
-from fulmarrudder.membership import Announcement, DepartedTarget
+from fulmarrudder.membership import (
+    Announcement,
+    DepartedTarget,
+    ForeignServiceError,
+)
 from fulmarrudder.node.gossip_node import GossipNode
 from fulmarrudder.observe import logs
 from fulmarrudder.pages import Page, PageFactory
@@ -71,14 +75,13 @@
             now=self.node.clock.seconds(),
         )
         if parsed.is_error():
-            logs.warning(
-                "heartbeat-refused", target=target, detail=parsed.error
+            return _refuse_heartbeat(request, target, parsed.error)
+        try:
+            applied = self.node.apply_announcement(
+                self._with_incarnation(parsed.ok)
             )
-            request.setResponseCode(400)
-            return b"{}"
-        applied = self.node.apply_announcement(
-            self._with_incarnation(parsed.ok)
-        )
+        except ForeignServiceError as error:
+            return _refuse_heartbeat(request, target, error)
         return applied.addCallback(lambda _: ACKNOWLEDGEMENT)
 
     def _deregister(self, target: str) -> Deferred:
@@ -105,6 +108,17 @@
         return dataclasses.replace(announcement, incarnation=incarnation)
 
 
+def _refuse_heartbeat(request, target: str, error: Exception) -> bytes:
+    logs.warning(
+        "heartbeat-refused",
+        target=target,
+        error=type(error).__name__,
+        detail=error,
+    )
+    request.setResponseCode(400)
+    return b"{}"
+
+
 def make_site(page: Page) -> PageFactory:
     """Returns the factory that serves a page to all requests."""
     return PageFactory(page, MAX_BODY_BYTES)
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -1,5 +1,6 @@
 """Endpoints for readiness, heartbeats, deregistrations and metrics."""
 
+import dataclasses
 import io
 import json
 import random
@@ -75,10 +76,13 @@
     return request, answer
 
 
-def send_heartbeat(node, sequence, state="ready", born=1000, target="i-1"):
+def send_heartbeat(
+    node, sequence, state="ready", born=1000, target="i-1", service="caja"
+):
     heartbeat = {
         **HEARTBEAT,
         "born": born,
+        "info": {**HEARTBEAT["info"], "service": service},
         "status": {"state": state, "sequence": sequence},
     }
     path = f"/-/instances/{target}/heartbeat".encode()
@@ -162,3 +166,37 @@
     node.apply_arrangement(Document(version=3, text=""), Arrangement())
     _, text = request_page(MetricsResource(node))
     assert b"fulmarrudder_config_version" in text
+
+
+# Guards against a heartbeat of another writer: a service that the settings do not
+# name, and a later start, put the live target out of use for good.
+@pytest.mark.parametrize("state", ["ready", "draining"])
+@pytest.mark.parametrize("target", ["i-other", "i-1"])
+@pytest.mark.parametrize("born", [999, 2000, None])
+def test_heartbeat_of_another_service_changes_nothing(
+    node, state, target, born
+):
+    send_heartbeat(node, 1)
+    request, _ = send_heartbeat(
+        node, 9, state=state, target=target, born=born, service="another"
+    )
+    assert request.responseCode == 400
+    send_heartbeat(node, 2)
+    latest = node.local_target.latest
+    assert (latest.id, latest.service, latest.sequence) == ("i-1", "caja", 2)
+    assert node.local_target.condition is Condition.READY
+
+
+def test_heartbeat_of_another_service_is_not_taken_after_a_start(node):
+    send_heartbeat(node, 1, service="another")
+    assert node.local_target.latest is None
+    send_heartbeat(node, 2)
+    assert node.local_target.condition is Condition.READY
+
+
+# An address may go to another service, which the settings then name.
+def test_heartbeat_is_taken_once_the_settings_name_its_service(node):
+    send_heartbeat(node, 1)
+    node.settings = dataclasses.replace(node.settings, service="vitrina")
+    send_heartbeat(node, 1, born=2000, target="i-2", service="vitrina")
+    assert node.local_target.latest.id == "i-2"
