A departure is acknowledged only once it is recorded (DRAIN)

While the store was silent a target deregistered and got its acknowledgement after 0.6 s.

Cause: the recorder fired in time with whether the departure was recorded, and the endpoint answered 200 either way.

Evidence: the daemon logs departure-record-late and answers 200; no departure-recorded comes before the kill.

Change: such a call is answered with 503 unless the departure is recorded within 0.6 s. The target gets no new requests either way. Writes are tried again each 0.25 s instead of each second, since an acknowledgement now waits for them, and the next call is acknowledged once one has succeeded. A new era of the store makes a departure unrecorded again. Also covered: draining heartbeats, targets that the process has not heard of, departures told in answers.

test_departure_is_acknowledged_in_time_while_the_store_is_away asked for the faulty acknowledgement. Three tests replace it: no acknowledgement without a record, within the same 0.6 s; one once the store is back, with the same check after a restart; and one in time after a refused write.

--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -61,6 +61,7 @@
     MoveResult,
     RecordedMove,
 )
+from fulmarrudder.node.errors import DepartureRecordError
 from fulmarrudder.node.evacuation import Evacuations
 from fulmarrudder.node.gauges import call_gauges, quota_gauges
 from fulmarrudder.node.move_executor import ControllerLease, MoveExecutor
@@ -206,8 +207,8 @@
             on_change: Applies a change of the configuration that another node
                 tells.
             record_departure: Records the departure of the local target; fires
-                once a restart of all nodes doesn't lose it, or once that has
-                taken too long.
+                once a restart of all nodes doesn't lose it, and fails with a
+                `DepartureRecordError` if that takes too long.
             is_first_start: Whether no departure was recorded before.
             on_evacuation: Called with each evacuation, and with its end.
             on_source_era: Called with an era of the source of versions that
@@ -305,7 +306,7 @@
             header_names=header_names,
             events=self.events,
             link_bytes_per_s=settings.link_bytes_per_s,
-            on_target_leaving=self.target_leaves,
+            on_target_leaving=self._leave_unacknowledged,
             data_centre=settings.data_centre,
         )
         self.host.cold.set_excess(settings.cold_excess)
@@ -532,7 +533,8 @@
         """Applies an announcement of the local target.
 
         Returns:
-            Deferred that fires once it may be acknowledged.
+            Deferred that fires once it may be acknowledged, or fails with a
+            `DepartureRecordError`.
 
         Raises:
             ForeignServiceError: It names another service than the settings.
@@ -550,7 +552,8 @@
         """Handles that the local target has told that it is leaving.
 
         Returns:
-            Deferred that fires once it may be acknowledged.
+            Deferred that fires once it may be acknowledged, or fails with a
+            `DepartureRecordError`.
         """
         if self.local_target.leave():
             self.host.apply_announcement()
@@ -561,11 +564,21 @@
         """Handles that a target leaves that was not announced to this process.
 
         Returns:
-            Deferred that fires once it may be acknowledged.
+            Deferred that fires once it may be acknowledged, or fails with a
+            `DepartureRecordError`.
         """
         self.local_target.depart(departed)
         return self._keep_departure()
 
+    def _leave_unacknowledged(self) -> None:
+        """Handles that the target tells in an answer that it is leaving.
+
+        Nobody awaits an acknowledgement of that.
+        """
+        self.target_leaves().addErrback(
+            lambda failure: failure.trap(DepartureRecordError)
+        )
+
     def recall_departure(self, told: Presence) -> None:
         """Handles that another node tells of an earlier departure.
 
--- a/src/fulmarrudder/node/recorder.py
+++ b/src/fulmarrudder/node/recorder.py
@@ -40,12 +40,13 @@
         """Records a departure.
 
         Returns:
-            Deferred that fires with whether the departure is recorded, after
-            `RECORD_TIMEOUT_S` at the latest.
+            Deferred that fires once the departure is recorded, or fails with
+            a `DepartureRecordError` after `RECORD_TIMEOUT_S`. It is then
+            recorded later, unless the process ends before.
         """
         self.departed = departed
         if departed == self.recorded:
-            return succeed(True)
+            return succeed(None)
         waiting = Deferred()
         self.waiting.append(waiting)
         waiting.addTimeout(RECORD_TIMEOUT_S, self.clock)
@@ -53,6 +54,10 @@
         self.run()
         return waiting
 
+    def enter_era(self) -> None:
+        """Handles that the store may have lost what was recorded."""
+        self.recorded = None
+
     def recall(self, recorded: DepartedTarget | None) -> None:
         """Handles that the departure recorded before a start was read."""
         if self.departed is None:
@@ -77,9 +82,11 @@
         waiting, self.waiting = self.waiting, []
         for deferred in waiting:
             if not deferred.called:
-                deferred.callback(True)
+                deferred.callback(None)
 
-    def _timed_out(self, failure, departed: DepartedTarget) -> bool:
+    def _timed_out(self, failure, departed: DepartedTarget) -> None:
         failure.trap(TimeoutError)
         logs.warning("departure-record-late", target=departed.id)
-        return False
+        raise DepartureRecordError(
+            f"not recorded within {RECORD_TIMEOUT_S} s"
+        ) from failure.value
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -70,8 +70,9 @@
 # store has come back from an older copy. Nodes draw theirs, so that the store is
 # not asked by all at once.
 DIRECTORY_ERA_DELAY_S = 2.0
-# Pause before a departure is recorded again, after a write that failed.
-DEPARTURES_PERIOD_S = 1.0
+# Pause before a departure is recorded again, after a write that failed: its target
+# awaits the acknowledgement.
+DEPARTURES_PERIOD_S = 0.25
 # Pause before the results of moves are read again, after a read that failed.
 RESULTS_PERIOD_S = 1.0
 SETTINGS_CHECK_PERIOD_S = 1.0
@@ -231,6 +232,7 @@
         self.tail.enter_era()
         self.follower.enter_era()
         self.directory.enter_era()
+        self.departures.enter_era()
         self.next_search_at = self.reactor.seconds() + self.rng.uniform(
             0.0, DIRECTORY_ERA_DELAY_S
         )
--- a/src/fulmarrudder/platform/http.py
+++ b/src/fulmarrudder/platform/http.py
@@ -1,17 +1,21 @@
 """HTTP endpoints for readiness probes, heartbeats of targets and metrics."""
 
 import dataclasses
+import functools
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import Deferred, maybeDeferred
+from twisted.python.failure import Failure
 
 from fulmarrudder.membership import (
     Announcement,
     DepartedTarget,
     ForeignServiceError,
 )
+from fulmarrudder.node.errors import DepartureRecordError
 from fulmarrudder.node.gossip_node import GossipNode
 from fulmarrudder.observe import logs
 from fulmarrudder.pages import Page, PageFactory
+from fulmarrudder.platform.errors import DocumentError
 from fulmarrudder.platform.heartbeats import INSTANCE_PATH, parse_heartbeat
 
 MAX_BODY_BYTES = 65_536
@@ -67,37 +71,39 @@
             request.setResponseCode(404)
             return b"{}"
         target = match[1].decode("latin-1")
-        if match[2] == b"deregister":
-            return self._deregister(target)
+        apply = (
+            self._deregister
+            if match[2] == b"deregister"
+            else self._apply_heartbeat
+        )
+        applied = maybeDeferred(apply, target, request)
+        applied.addCallbacks(
+            lambda _: ACKNOWLEDGEMENT, _refuse, errbackArgs=(request, target)
+        )
+        return applied
+
+    def _apply_heartbeat(self, target: str, request) -> Deferred:
         parsed = parse_heartbeat(
             target,
             request.content.read(MAX_BODY_BYTES),
             now=self.node.clock.seconds(),
         )
         if parsed.is_error():
-            return _refuse_heartbeat(request, target, parsed.error)
-        try:
-            applied = self.node.apply_announcement(
-                self._with_incarnation(parsed.ok)
-            )
-        except ForeignServiceError as error:
-            return _refuse_heartbeat(request, target, error)
-        return applied.addCallback(lambda _: ACKNOWLEDGEMENT)
-
-    def _deregister(self, target: str) -> Deferred:
+            raise parsed.error
+        return self.node.apply_announcement(self._with_incarnation(parsed.ok))
+
+    def _deregister(self, target: str, request) -> Deferred:
         latest = self.node.local_target.latest
         is_known = latest is not None and latest.id == target
         logs.info("target-deregistered", target=target, known=is_known)
-        if not is_known:
-            # This process may have started after the target's last heartbeat,
-            # and another one may be on its way.
-            now_ms = int(self.node.wall() * 1000)
-            left = self.node.unknown_target_leaves(
-                DepartedTarget(id=target, incarnation=now_ms)
-            )
-        else:
-            left = self.node.target_leaves()
-        return left.addCallback(lambda _: ACKNOWLEDGEMENT)
+        if is_known:
+            return self.node.target_leaves()
+        # This process may have started after the target's last heartbeat, and
+        # another one may be on its way.
+        now_ms = int(self.node.wall() * 1000)
+        return self.node.unknown_target_leaves(
+            DepartedTarget(id=target, incarnation=now_ms)
+        )
 
     def _with_incarnation(self, announcement: Announcement) -> Announcement:
         if announcement.incarnation:
@@ -108,17 +114,34 @@
         return dataclasses.replace(announcement, incarnation=incarnation)
 
 
-def _refuse_heartbeat(request, target: str, error: Exception) -> bytes:
+def _refuse(failure: Failure, request, target: str) -> bytes:
+    """Answers a call of a target that is not acknowledged."""
+    error = failure.value
+    request.setResponseCode(_status_of(error))
     logs.warning(
         "heartbeat-refused",
         target=target,
         error=type(error).__name__,
         detail=error,
     )
-    request.setResponseCode(400)
     return b"{}"
 
 
+@functools.singledispatch
+def _status_of(error: Exception) -> int:
+    raise error
+
+
+@_status_of.register
+def _(error: DocumentError | ForeignServiceError) -> int:
+    return 400
+
+
+@_status_of.register
+def _(error: DepartureRecordError) -> int:
+    return 503
+
+
 def make_site(page: Page) -> PageFactory:
     """Returns the factory that serves a page to all requests."""
     return PageFactory(page, MAX_BODY_BYTES)
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -100,7 +100,7 @@
 
     def deregister(self):
         path = b"/-/instances/i-1/deregister"
-        return request_page(HeartbeatResource(self.daemon.node), path, b"")[1]
+        return request_page(HeartbeatResource(self.daemon.node), path, b"")
 
 
 @pytest.fixture
@@ -114,16 +114,16 @@
 
 
 def leave_by_deregistration(scene):
-    scene.deregister()
+    return scene.deregister()
 
 
 def leave_by_heartbeat(scene):
-    send_heartbeat(scene.daemon.node, 2, state="draining")
+    return send_heartbeat(scene.daemon.node, 2, state="draining")
 
 
 def leave_unannounced(scene):
     scene.restart()
-    scene.deregister()
+    return scene.deregister()
 
 
 # A target that had left was used again: all nodes were killed at once, and a heartbeat
@@ -174,27 +174,81 @@
 
 def test_departure_is_acknowledged_once_it_is_recorded(scene):
     scene.store.holding = True
-    answer = scene.deregister()
+    _, answer = scene.deregister()
     assert scene.condition is Condition.LEAVING
     assert not answer.called
     scene.store.release()
     assert answer.result == b"{}"
 
 
-# A target awaits its acknowledgement for a second, whatever the store does.
-def test_departure_is_acknowledged_in_time_while_the_store_is_away(scene):
+# Guards against a departure that is acknowledged while it is in memory only: all nodes
+# were killed then, and a late heartbeat put the target in use again.
+@pytest.mark.parametrize(
+    "leave", [leave_by_deregistration, leave_by_heartbeat, leave_unannounced]
+)
+@pytest.mark.parametrize("holding", [False, True])
+def test_departure_is_not_acknowledged_while_the_store_is_away(
+    scene, leave, holding
+):
+    scene.store.holding = holding
+    scene.store.answering = holding
+    request, answer = leave(scene)
+    scene.daemon.reactor.advance(RECORD_TIMEOUT_S - 0.01)
+    assert not answer.called
+    scene.daemon.reactor.advance(0.02)
+    assert request.responseCode == 503
+    assert scene.condition is not Condition.READY
+
+
+# A target awaits its acknowledgement for a second, and asks again.
+def test_departure_is_acknowledged_once_the_store_is_back(scene):
     scene.store.answering = False
-    answer = scene.deregister()
+    request, _ = scene.deregister()
     scene.daemon.reactor.advance(RECORD_TIMEOUT_S)
-    assert answer.result == b"{}"
+    assert request.responseCode == 503
     scene.store.answering = True
     scene.pass_time(2 * DEPARTURES_PERIOD_S)
+    assert scene.deregister()[1] == b"{}"
     scene.restart()
     scene.pass_time(1.0)
     send_heartbeat(scene.daemon.node, 1)
     assert scene.condition is Condition.LEAVING
 
 
+def test_departure_is_acknowledged_in_time_after_one_refused_write(scene):
+    scene.store.answering = False
+    request, answer = scene.deregister()
+    scene.pass_time(DEPARTURES_PERIOD_S)
+    scene.store.answering = True
+    scene.pass_time(DEPARTURES_PERIOD_S)
+    assert answer.result == b"{}"
+    assert request.responseCode != 503
+
+
+# Guards against an acknowledgement of what the store's older copy may lack.
+def test_departure_is_recorded_again_before_it_is_acknowledged_in_a_new_era(
+    scene,
+):
+    scene.deregister()
+    scene.store.answering = False
+    scene.daemon._enter_era(0, 1)
+    request, _ = scene.deregister()
+    scene.daemon.reactor.advance(RECORD_TIMEOUT_S)
+    assert request.responseCode == 503
+    scene.store.answering = True
+    scene.pass_time(2.0)
+    assert scene.deregister()[1] == b"{}"
+
+
+# Guards against a fault for each answer in which a target tells that it leaves.
+def test_departure_told_in_an_answer_needs_no_acknowledgement(scene):
+    scene.store.answering = False
+    scene.daemon.node.host.advice.on_leaving()
+    scene.daemon.reactor.advance(RECORD_TIMEOUT_S)
+    assert scene.condition is Condition.LEAVING
+    assert not scene.daemon.supervisor.logged
+
+
 def test_departure_is_recorded_once(scene):
     before = scene.store.appends
     for sequence in range(2, 6):
