One late heartbeat is not trusted while the departures can't be read (DRAIN)

What callers would see: a target deregisters and is acknowledged and recorded; the store goes away and all nodes restart. After 3 s each node trusted any heartbeat, also a single one from before the departure, and the target got requests again.

Cause: the node gave up waiting for its record after 3 s and then knew nothing that tells a live target from one that has left.

Change: until the record is read, a target counts as ready only after those 3 s and once the same start of it was announced to this process again. A target that has left sends no further announcement as ready; a live one does so each interval. With the record read, nothing changes.

test_target_is_used_without_the_store_after_a_while sent one heartbeat for a live target; it is replaced by a target that sends two, is absent for the same time and ready after it, and by the next target beside the node.

--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -102,7 +102,12 @@
         departed: The target that left last without having been announced to
             this process, or None.
         unconfirmed_until: Clock seconds until which a ready target counts as
-            absent: it may have left beside an earlier start of the node.
+            absent, as it may have left beside an earlier start of the node,
+            and after which it counts once it is renewed; 0 when it is known
+            which target has left.
+        renewed: Whether the latest incarnation was announced to this process
+            more than once. A single announcement may have been under way
+            since before the target left.
         slot_limit: Slots that the node offers to others at most.
         presumed_cold: Whether the target counts as cold until it announces
             otherwise.
@@ -123,6 +128,7 @@
         self.unreachable = False
         self.departed: DepartedTarget | None = None
         self.unconfirmed_until = 0.0
+        self.renewed = False
         self.slot_limit = math.inf
         self.presumed_cold = False
         self.warm_deadline = 0.0
@@ -175,7 +181,8 @@
         if stored is not None:
             if not self._is_superseded_by(announcement):
                 return False
-            if announcement.incarnation != stored.incarnation:
+            self.renewed = announcement.incarnation == stored.incarnation
+            if not self.renewed:
                 self.departed = self.latest_departed
         self.latest = announcement
         self.presumed_cold = False
@@ -213,8 +220,13 @@
         condition = self.latest.condition
         if condition is not Condition.READY:
             return condition
-        is_confirmed = self.clock.seconds() >= self.unconfirmed_until
-        return condition if is_confirmed else Condition.ABSENT
+        return condition if self._is_confirmed else Condition.ABSENT
+
+    @property
+    def _is_confirmed(self) -> bool:
+        if not self.unconfirmed_until:
+            return True
+        return self.renewed and self.clock.seconds() >= self.unconfirmed_until
 
     def _is_superseded_by(self, announcement: Announcement) -> bool:
         stored = self.latest
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -155,12 +155,40 @@
     assert scene.condition is Condition.LEAVING
 
 
-def test_target_is_used_without_the_store_after_a_while(scene):
+# Guards against a departure, recorded and acknowledged, that one late heartbeat undoes
+# as the store is away for longer than the node waits for it.
+@pytest.mark.parametrize("late_s", [0.0, 2.0, 2 * DISCOVERY_TIMEOUT_S])
+def test_late_heartbeat_is_not_trusted_while_the_store_is_away(scene, late_s):
+    scene.deregister()
     scene.store.answering = False
     scene.restart()
-    send_heartbeat(scene.daemon.node, 2)
-    assert scene.condition is Condition.ABSENT
+    scene.pass_time(late_s)
+    send_heartbeat(scene.daemon.node, 1)
+    for _ in range(10):
+        scene.pass_time(1.0)
+        assert scene.condition is Condition.ABSENT
+
+
+def test_live_target_is_used_without_the_store_after_a_while(scene):
+    scene.store.answering = False
+    scene.restart()
+    for sequence in (2, 3):
+        send_heartbeat(scene.daemon.node, sequence)
+        scene.pass_time(1.25)
+        assert scene.condition is Condition.ABSENT
+    scene.pass_time(DISCOVERY_TIMEOUT_S - 2.5 + TICK_S)
+    assert scene.condition is Condition.READY
+
+
+def test_next_target_is_used_without_the_store_after_a_while(scene):
+    scene.deregister()
+    scene.store.answering = False
+    scene.restart()
+    send_heartbeat(scene.daemon.node, 1)
     scene.pass_time(DISCOVERY_TIMEOUT_S + TICK_S)
+    for sequence in (1, 2):
+        assert scene.condition is Condition.ABSENT
+        send_heartbeat(scene.daemon.node, sequence, born=2000, target="i-2")
     assert scene.condition is Condition.READY
 
 
