A deregistration is of the start that it tells, not of the latest one (DRAIN)

What callers would see: a target starts again under its id, and a late deregistration of its earlier start puts it out of use for good. Or a target deregisters beside a node that has just restarted and whose clock is behind; its late heartbeat has a start after "now" and puts it in use again.

Cause: the body of a deregistration was not read. A known id meant the latest start, an unknown one every start before the node's own time of day.

Change: the body's start decides, where there is one. A deregistration of an earlier start than the announced one is acknowledged and changes nothing. A malformed body is refused with 400, like a malformed heartbeat. Without a body all is as before.

--- a/src/fulmarrudder/membership/announce.py
+++ b/src/fulmarrudder/membership/announce.py
@@ -163,9 +163,11 @@
     def latest_departed(self) -> DepartedTarget | None:
         """The target that left last, as far as this process knows."""
         latest = self.latest
-        if latest is not None and latest.condition is Condition.LEAVING:
-            return DepartedTarget(id=latest.id, incarnation=latest.incarnation)
-        return self.departed
+        if latest is None or latest.condition is not Condition.LEAVING:
+            return self.departed
+        if self._has_departed(latest):
+            return self.departed
+        return DepartedTarget(id=latest.id, incarnation=latest.incarnation)
 
     def update(self, announcement: Announcement) -> bool:
         """Stores an announcement if it is the newest of a live target.
--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -560,15 +560,26 @@
             self.refresh_presence()
         return self._keep_departure()
 
-    def unknown_target_leaves(self, departed: DepartedTarget) -> Deferred:
-        """Handles that a target leaves that was not announced to this process.
+    def target_departs(self, departed: DepartedTarget) -> Deferred:
+        """Handles that a target leaves, which may not be the announced one.
+
+        This process may have started after the target's last announcement, and
+        another one may be under way. An earlier start of the announced target
+        has ended already.
 
         Returns:
             Deferred that fires once it may be acknowledged, or fails with a
             `DepartureRecordError`.
         """
-        self.local_target.depart(departed)
-        return self._keep_departure()
+        latest = self.local_target.latest
+        if (
+            latest is not None
+            and latest.id == departed.id
+            and latest.incarnation > departed.incarnation
+        ):
+            return succeed(None)
+        self._depart(departed)
+        return self.record_departure(departed)
 
     def _leave_unacknowledged(self) -> None:
         """Handles that the target tells in an answer that it is leaving.
@@ -585,7 +596,7 @@
         Args:
             told: This node's presence then.
         """
-        self._recall(
+        self._depart(
             DepartedTarget(id=told.target, incarnation=told.target_incarnation)
         )
 
@@ -596,11 +607,11 @@
             recorded: The target that left last beside earlier starts, or None.
         """
         if recorded is not None and self.local_target.departed is None:
-            self._recall(recorded)
+            self._depart(recorded)
         self.local_target.unconfirmed_until = 0.0
         self.refresh_presence()
 
-    def _recall(self, departed: DepartedTarget) -> None:
+    def _depart(self, departed: DepartedTarget) -> None:
         self.local_target.depart(departed)
         latest = self.local_target.latest
         if latest is None or not departed.covers(latest.id, latest.incarnation):
--- a/src/fulmarrudder/platform/heartbeats.py
+++ b/src/fulmarrudder/platform/heartbeats.py
@@ -46,6 +46,10 @@
     born: Count | None = None
 
 
+class _Deregistration(PlatformModel):
+    born: Count | None = None
+
+
 def parse_heartbeat(
     target: str, data: bytes, *, now: float = 0.0
 ) -> Result[Announcement, DocumentError]:
@@ -80,6 +84,24 @@
     )
 
 
+def parse_deregistration(data: bytes) -> Result[int | None, DocumentError]:
+    """Parses and validates the body of a deregistration.
+
+    Args:
+        data: JSON, or empty.
+
+    Returns:
+        The start of the target that it tells, in Unix milliseconds, or None;
+        or every validation error.
+    """
+    if not data:
+        return Ok(None)
+    try:
+        return Ok(_Deregistration.model_validate_json(data).born)
+    except pydantic.ValidationError as error:
+        return Error(DocumentError("; ".join(list_faults(error))))
+
+
 def _cold_until(status: _Status, now: float) -> float:
     if not status.cold_left_ms:
         return 0.0
--- a/src/fulmarrudder/platform/http.py
+++ b/src/fulmarrudder/platform/http.py
@@ -16,7 +16,11 @@
 from fulmarrudder.observe import logs
 from fulmarrudder.pages import Page, PageFactory
 from fulmarrudder.platform.errors import DocumentError
-from fulmarrudder.platform.heartbeats import INSTANCE_PATH, parse_heartbeat
+from fulmarrudder.platform.heartbeats import (
+    INSTANCE_PATH,
+    parse_deregistration,
+    parse_heartbeat,
+)
 
 MAX_BODY_BYTES = 65_536
 ACKNOWLEDGEMENT = b"{}"
@@ -93,15 +97,20 @@
         return self.node.apply_announcement(self._with_incarnation(parsed.ok))
 
     def _deregister(self, target: str, request) -> Deferred:
+        parsed = parse_deregistration(request.content.read(MAX_BODY_BYTES))
+        if parsed.is_error():
+            raise parsed.error
         latest = self.node.local_target.latest
         is_known = latest is not None and latest.id == target
         logs.info("target-deregistered", target=target, known=is_known)
+        if parsed.ok is not None:
+            return self.node.target_departs(
+                DepartedTarget(id=target, incarnation=parsed.ok)
+            )
         if is_known:
             return self.node.target_leaves()
-        # This process may have started after the target's last heartbeat, and
-        # another one may be on its way.
         now_ms = int(self.node.wall() * 1000)
-        return self.node.unknown_target_leaves(
+        return self.node.target_departs(
             DepartedTarget(id=target, incarnation=now_ms)
         )
 
--- a/tests/platform/test_http.py
+++ b/tests/platform/test_http.py
@@ -200,3 +200,48 @@
     node.settings = dataclasses.replace(node.settings, service="vitrina")
     send_heartbeat(node, 1, born=2000, target="i-2", service="vitrina")
     assert node.local_target.latest.id == "i-2"
+
+
+def deregister(node, body, target="i-1"):
+    path = f"/-/instances/{target}/deregister".encode()
+    return request_page(HeartbeatResource(node), path, body)
+
+
+# Guards against a late deregistration of an earlier start, which put the next start
+# of the same target out of use.
+def test_deregistration_of_an_earlier_start_leaves_the_next_one_in_use(node):
+    send_heartbeat(node, 5, born=1000)
+    send_heartbeat(node, 1, born=2000)
+    assert deregister(node, b'{"born": 1000}')[1] == b"{}"
+    assert node.local_target.condition is Condition.READY
+    send_heartbeat(node, 2, born=2000)
+    assert node.local_target.condition is Condition.READY
+
+
+# Guards against a late heartbeat of a target whose start lies ahead of this clock.
+@pytest.mark.parametrize("known_start", [None, 1000])
+def test_start_that_a_deregistration_tells_is_not_used_again(node, known_start):
+    ahead = int(node.wall() * 1000) + 5_000
+    if known_start:
+        send_heartbeat(node, 5, born=known_start)
+    deregister(node, json.dumps({"born": ahead}).encode())
+    for sequence in (1, 2):
+        send_heartbeat(node, sequence, born=ahead)
+        assert node.local_target.condition is Condition.LEAVING
+    send_heartbeat(node, 1, born=ahead + 1)
+    assert node.local_target.condition is Condition.READY
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"born": 1000}'])
+def test_deregistration_of_the_live_target_is_heeded(node, body):
+    send_heartbeat(node, 1)
+    assert deregister(node, body)[1] == b"{}"
+    assert node.local_target.condition is Condition.LEAVING
+
+
+@pytest.mark.parametrize("body", [b"\xff", b"[]", b'{"born": "soon"}', b"{"])
+def test_malformed_deregistration_is_refused(node, body):
+    send_heartbeat(node, 1)
+    request, _ = deregister(node, body)
+    assert request.responseCode == 400
+    assert node.local_target.condition is Condition.READY
