A delayed write does not replace a recorded departure (DRAIN)

What callers would see: the store answers a node's registration too late or never, and executes it seconds later. Meanwhile the node's target has left; the departure was recorded and acknowledged. The delayed write replaces the record, all nodes restart, and a late heartbeat puts the target in use again.

Cause: writes of the node's record were not ordered in the store.

Change: each write has a producer of the node and a higher fencing epoch than the one before; epochs begin at the start of the process in Unix milliseconds, so that a restart fences what its predecessor left. The store rejects a write that is overtaken. Where the store knows a higher epoch, as the clock was set back, the next write goes an hour ahead.

--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -170,7 +170,10 @@
             mesh_address=settings.mesh_address,
         )
         self.directory = Directory(
-            self.store, own, first_start=settings.first_start
+            self.store,
+            own,
+            first_start=settings.first_start,
+            epoch=incarnation,
         )
         self.duty = ReaderDuty(
             clock=reactor,
--- a/src/fulmarrudder/platform/directory.py
+++ b/src/fulmarrudder/platform/directory.py
@@ -12,11 +12,18 @@
 from fulmarrudder.membership import DepartedTarget
 from fulmarrudder.node.errors import DepartureRecordError
 from fulmarrudder.observe import logs
-from fulmarrudder.platform.errors import StoreError
+from fulmarrudder.platform.errors import StoreError, StoreRejectedError
 from fulmarrudder.platform.field_types import Count, Name, PlatformModel
-from fulmarrudder.platform.store import KeyedRecord, StoreClient
+from fulmarrudder.platform.store import (
+    CONFLICT_STATUSES,
+    KeyedRecord,
+    StoreClient,
+)
 
 TOPIC = "keyed.nodes"
+# Added to the epoch when the store knows a higher one: the clock may have been set
+# back since an earlier start, by less than this.
+FENCED_EPOCH_STEP = 3_600_000
 
 
 class _Departed(PlatformModel):
@@ -43,10 +50,17 @@
             is then looked for before it is written.
         own_entry: This node's own record as it was last read, or None.
         turns: Lets one look for the record, and write it, at a time.
+        epoch: Fencing epoch of the latest write. A write whose answer was lost
+            may be executed seconds later; each one fences those before it.
     """
 
     def __init__(
-        self, store: StoreClient, own: Peer, *, first_start: bool = True
+        self,
+        store: StoreClient,
+        own: Peer,
+        *,
+        first_start: bool = True,
+        epoch: int = 0,
     ):
         self.store = store
         self.own = own
@@ -56,6 +70,7 @@
         self.is_lost = False
         self.own_entry: _Entry | None = None
         self.turns = DeferredLock()
+        self.epoch = epoch
 
     def enter_era(self) -> None:
         """Handles that the store has come back from an older copy."""
@@ -126,9 +141,19 @@
 
     async def _register(self) -> None:
         value = self._entry().model_dump_json(exclude_none=True).encode()
-        await self.store.append(
-            TOPIC, KeyedRecord(key=self.own.node, value=value)
-        )
+        self.epoch += 1
+        epoch = self.epoch
+        try:
+            await self.store.append(
+                TOPIC,
+                KeyedRecord(key=self.own.node, value=value),
+                producer=self.own.node,
+                epoch=epoch,
+            )
+        except StoreRejectedError as error:
+            if error.status in CONFLICT_STATUSES and epoch == self.epoch:
+                self.epoch += FENCED_EPOCH_STEP
+            raise
         self.registered = True
         if self.is_lost:
             self.is_lost = False
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -1,17 +1,22 @@
 """Departures of targets outlive a restart of all nodes."""
 
+import contextlib
 import json
 
 import pytest
 from twisted.internet.defer import Deferred, succeed
 
+from fulmarrudder.clock import wall_seconds
 from fulmarrudder.model import Condition
 from fulmarrudder.node import gossip_node
 from fulmarrudder.node.gossip_node import DISCOVERY_TIMEOUT_S
 from fulmarrudder.node.recorder import RECORD_TIMEOUT_S
 from fulmarrudder.platform.daemon import DEPARTURES_PERIOD_S, Daemon
 from fulmarrudder.platform.directory import TOPIC
-from fulmarrudder.platform.errors import StoreUnavailableError
+from fulmarrudder.platform.errors import (
+    StoreRejectedError,
+    StoreUnavailableError,
+)
 from fulmarrudder.platform.http import HeartbeatResource
 from fulmarrudder.platform.settings import parse_machine_settings
 from fulmarrudder.platform.store import RecordBatch
@@ -28,26 +33,45 @@
     Attributes:
         answering: Whether calls are answered; others fail.
         holding: Whether appends are answered only by `release`.
+        delaying: Whether appends get no answer, and are executed by
+            `execute_delayed`.
     """
 
     def __init__(self):
         self.newest = {}
+        self.epochs = {}
         self.answering = True
         self.holding = False
         self.held = []
+        self.delaying = False
+        self.delayed = []
         self.appends = 0
 
-    async def append(self, topic, record, **_):
+    async def append(self, topic, record, *, producer="", epoch=0, **_):
         if topic != TOPIC:
             return
         self.appends += 1
         if not self.answering:
             raise StoreUnavailableError("503")
+        if self.delaying:
+            self.delayed.append((record, producer, epoch))
+            raise StoreUnavailableError("no answer")
         answer = Deferred() if self.holding else succeed(None)
         self.held.append(answer)
         await answer
+        self.execute(record, producer, epoch)
+
+    def execute(self, record, producer, epoch):
+        if producer and epoch < self.epochs.get(producer, 0):
+            raise StoreRejectedError(409, "fenced")
+        self.epochs[producer] = epoch
         self.newest[record.key] = record
 
+    def execute_delayed(self):
+        for append in self.delayed:
+            with contextlib.suppress(StoreRejectedError):
+                self.execute(*append)
+
     def release(self):
         self.holding = False
         for answer in self.held:
@@ -268,6 +292,68 @@
     assert scene.deregister()[1] == b"{}"
 
 
+# Guards against an earlier write without an answer that the store executes after the
+# departure was recorded and acknowledged, and that replaces it.
+@pytest.mark.parametrize("written_by", ["this start", "the start before"])
+def test_delayed_write_does_not_replace_a_departure(
+    scene, monkeypatch, written_by
+):
+    scene.store.newest.clear()
+    scene.store.delaying = True
+    scene.restart()
+    scene.pass_time(1.0)
+    if written_by == "the start before":
+        set_back(monkeypatch, -2.0)
+        scene.restart()
+    scene.store.delaying = False
+    assert scene.deregister()[1] == b"{}"
+    scene.store.execute_delayed()
+    scene.restart()
+    scene.pass_time(1.0)
+    send_heartbeat(scene.daemon.node, 1)
+    assert scene.condition is Condition.LEAVING
+
+
+def test_delayed_departure_does_not_replace_a_later_one(scene):
+    scene.store.delaying = True
+    scene.deregister()
+    scene.pass_time(1.0)
+    scene.store.delaying = False
+    send_heartbeat(scene.daemon.node, 1, born=2000, target="i-2")
+    send_heartbeat(
+        scene.daemon.node, 2, born=2000, target="i-2", state="draining"
+    )
+    scene.pass_time(1.0)
+    scene.store.execute_delayed()
+    scene.restart()
+    scene.pass_time(1.0)
+    send_heartbeat(scene.daemon.node, 1, born=2000, target="i-2")
+    assert scene.condition is Condition.LEAVING
+
+
+def set_back(monkeypatch, seconds):
+    """Sets the time of day back."""
+    monkeypatch.setattr(
+        "fulmarrudder.platform.daemon.wall_seconds",
+        lambda: wall_seconds() - seconds,
+    )
+
+
+# Guards against a node that can't write its record after its clock was set back.
+def test_departure_is_recorded_after_the_clock_was_set_back(scene, monkeypatch):
+    set_back(monkeypatch, 600.0)
+    scene.restart()
+    scene.pass_time(1.0)
+    send_heartbeat(scene.daemon.node, 1)
+    _, answer = scene.deregister()
+    scene.pass_time(1.0)
+    assert answer.result == b"{}"
+    scene.restart()
+    scene.pass_time(1.0)
+    send_heartbeat(scene.daemon.node, 1)
+    assert scene.condition is Condition.LEAVING
+
+
 # Guards against a fault for each answer in which a target tells that it leaves.
 def test_departure_told_in_an_answer_needs_no_acknowledgement(scene):
     scene.store.answering = False
--- a/tests/platform/test_move_results.py
+++ b/tests/platform/test_move_results.py
@@ -45,7 +45,7 @@
         self.later = {}
         self.records = {NODES_TOPIC: (KeyedRecord(key="n9", value=ENTRY),)}
 
-    async def append(self, topic, record, *, expected_end=None):
+    async def append(self, topic, record, **_):
         pass
 
     async def read_latest(self, topic, **_):
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -49,7 +49,7 @@
     def __init__(self, values):
         self.values = values
 
-    async def append(self, topic, record):
+    async def append(self, topic, record, **_):
         pass
 
     async def read_latest(self, topic):
