An awaited departure is written quickly, others each second; one record stays

A failed write of a departure was tried again each 0.25 s for as long as the store is away, by every node whose target leaves. Now it is only while a target awaits the acknowledgement, within 0.6 s of its call, and each second otherwise, as before.

A late deregistration of another target replaced the record of the target that leaves, since the endpoint recorded what it was told last. The record stays with the announced target that leaves, as before.

--- a/src/fulmarrudder/node/gossip_node.py
+++ b/src/fulmarrudder/node/gossip_node.py
@@ -540,7 +540,9 @@
             ForeignServiceError: It names another service than the settings.
         """
         if announcement.service != self.settings.service:
-            raise ForeignServiceError(announcement.service)
+            raise ForeignServiceError(
+                f"{announcement.service} instead of {self.settings.service}"
+            )
         if self.local_target.update(announcement):
             self.host.apply_announcement()
             self.refresh_presence()
@@ -579,7 +581,7 @@
         ):
             return succeed(None)
         self._depart(departed)
-        return self.record_departure(departed)
+        return self._keep_departure()
 
     def _leave_unacknowledged(self) -> None:
         """Handles that the target tells in an answer that it is leaving.
--- a/src/fulmarrudder/node/recorder.py
+++ b/src/fulmarrudder/node/recorder.py
@@ -11,6 +11,8 @@
 
 # A target expects its acknowledgement within a second.
 RECORD_TIMEOUT_S = 0.6
+# Pause after a failed write that no target awaits.
+RETRY_S = 1.0
 
 
 class DepartureRecorder:
@@ -21,6 +23,8 @@
         departed: The latest departure, or None.
         recorded: The latest departure that was recorded, or None.
         waiting: Deferreds that fire once the latest departure is recorded.
+        retry_at: Clock seconds before which a failed write is not tried again
+            unless a target awaits it.
         run: Starts the task that calls `write_latest`; set once it is built.
     """
 
@@ -34,6 +38,7 @@
         self.departed: DepartedTarget | None = None
         self.recorded: DepartedTarget | None = None
         self.waiting: list[Deferred] = []
+        self.retry_at = 0.0
         self.run: Callable[[], None] = lambda: None
 
     def record(self, departed: DepartedTarget) -> Deferred:
@@ -65,7 +70,12 @@
 
     def write_latest(self) -> Coroutine | None:
         """Returns a coroutine that writes what is not recorded yet, if any."""
-        return None if self.departed == self.recorded else self._write_latest()
+        if self.departed == self.recorded:
+            return None
+        self.waiting = [w for w in self.waiting if not w.called]
+        if not self.waiting and self.clock.seconds() < self.retry_at:
+            return None
+        return self._write_latest()
 
     async def _write_latest(self) -> None:
         while self.departed != self.recorded:
@@ -76,6 +86,7 @@
                 logs.warning(
                     "departure-not-recorded", target=departed.id, detail=error
                 )
+                self.retry_at = self.clock.seconds() + RETRY_S
                 return
             self.recorded = departed
             logs.info("departure-recorded", target=departed.id)
--- a/src/fulmarrudder/platform/daemon.py
+++ b/src/fulmarrudder/platform/daemon.py
@@ -70,8 +70,7 @@
 # store has come back from an older copy. Nodes draw theirs, so that the store is
 # not asked by all at once.
 DIRECTORY_ERA_DELAY_S = 2.0
-# Pause before a departure is recorded again, after a write that failed: its target
-# awaits the acknowledgement.
+# Pause before a departure is recorded again while its target awaits that.
 DEPARTURES_PERIOD_S = 0.25
 # Pause before the results of moves are read again, after a read that failed.
 RESULTS_PERIOD_S = 1.0
--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -10,7 +10,7 @@
 from fulmarrudder.model import Condition
 from fulmarrudder.node import gossip_node
 from fulmarrudder.node.gossip_node import DISCOVERY_TIMEOUT_S
-from fulmarrudder.node.recorder import RECORD_TIMEOUT_S
+from fulmarrudder.node.recorder import RECORD_TIMEOUT_S, RETRY_S
 from fulmarrudder.platform.daemon import DEPARTURES_PERIOD_S, Daemon
 from fulmarrudder.platform.directory import TOPIC
 from fulmarrudder.platform.errors import (
@@ -259,7 +259,7 @@
     scene.daemon.reactor.advance(RECORD_TIMEOUT_S)
     assert request.responseCode == 503
     scene.store.answering = True
-    scene.pass_time(2 * DEPARTURES_PERIOD_S)
+    scene.pass_time(2 * RETRY_S)
     assert scene.deregister()[1] == b"{}"
     scene.restart()
     scene.pass_time(1.0)
@@ -277,6 +277,27 @@
     assert request.responseCode != 503
 
 
+# Guards against a store in trouble that all nodes ask four times a second.
+def test_write_that_no_target_awaits_is_tried_again_each_second(scene):
+    scene.store.answering = False
+    scene.deregister()
+    scene.pass_time(1.0)
+    before = scene.store.appends
+    scene.pass_time(10.0)
+    assert 9 <= scene.store.appends - before <= 11
+
+
+# Guards against a late deregistration of another target that replaces the record.
+def test_deregistration_of_another_target_keeps_the_departure(scene):
+    scene.deregister()
+    path = b"/-/instances/i-0/deregister"
+    request_page(HeartbeatResource(scene.daemon.node), path, b"")
+    scene.restart()
+    scene.pass_time(1.0)
+    send_heartbeat(scene.daemon.node, 1)
+    assert scene.condition is Condition.LEAVING
+
+
 # Guards against an acknowledgement of what the store's older copy may lack.
 def test_departure_is_recorded_again_before_it_is_acknowledged_in_a_new_era(
     scene,
