--- a/tests/platform/test_departures.py
+++ b/tests/platform/test_departures.py
@@ -150,6 +150,14 @@
     return scene.deregister()
 
 
+def set_clock(monkeypatch, offset_s):
+    """Sets the time of day of later starts ahead, or back."""
+    monkeypatch.setattr(
+        "fulmarrudder.platform.daemon.wall_seconds",
+        lambda: wall_seconds() + offset_s,
+    )
+
+
 # A target that had left was used again: all nodes were killed at once, and a heartbeat
 # that it had sent before came late.
 @pytest.mark.parametrize(
@@ -324,7 +332,7 @@
     scene.restart()
     scene.pass_time(1.0)
     if written_by == "the start before":
-        set_back(monkeypatch, -2.0)
+        set_clock(monkeypatch, 2.0)
         scene.restart()
     scene.store.delaying = False
     assert scene.deregister()[1] == b"{}"
@@ -352,17 +360,9 @@
     assert scene.condition is Condition.LEAVING
 
 
-def set_back(monkeypatch, seconds):
-    """Sets the time of day back."""
-    monkeypatch.setattr(
-        "fulmarrudder.platform.daemon.wall_seconds",
-        lambda: wall_seconds() - seconds,
-    )
-
-
 # Guards against a node that can't write its record after its clock was set back.
 def test_departure_is_recorded_after_the_clock_was_set_back(scene, monkeypatch):
-    set_back(monkeypatch, 600.0)
+    set_clock(monkeypatch, -600.0)
     scene.restart()
     scene.pass_time(1.0)
     send_heartbeat(scene.daemon.node, 1)
